--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/ready
+
+.PHONY: demo test check scenarios format clean
+
+demo: $(READY)
+	$(BIN)/onyxfork demo
+
+test: $(READY) check
+	$(BIN)/pytest
+
+check: $(READY)
+	$(BIN)/black --check --quiet onyxfork tests
+	$(BIN)/ruff check --quiet onyxfork tests
+
+format: $(READY)
+	$(BIN)/ruff check --quiet --fix onyxfork tests
+	$(BIN)/black --quiet onyxfork tests
+
+$(READY): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[test]'
+	touch $(READY)
+
+clean:
+	rm -rf $(VENV) build *.egg-info .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/onyxfork/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated durable state: log, storage, agreement, configuration and its fan-out."""
--- /dev/null
+++ b/onyxfork/control/replica.py
@@ -0,0 +1,543 @@
+"""One control instance: the driver of a replica, its peers and its followers.
+
+The driver feeds messages and time into :class:`Raft`, makes entries durable in a thread, applies
+what is committed and answers who waits for it. Writes that arrive while a sync is under way share
+the next one.
+"""
+
+import asyncio
+import logging
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import asynccontextmanager
+from random import Random
+
+from onyxfork.control.fanout import Fanout
+from onyxfork.control.feed import (
+    Follow,
+    InForce,
+    Propose,
+    Proposed,
+    ReadIndex,
+    ReadIndexed,
+    Renew,
+    Renewed,
+)
+from onyxfork.control.leases import LeaseTable
+from onyxfork.control.raft import Raft, RaftTiming
+from onyxfork.control.raft_messages import (
+    COMMAND,
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    Join,
+    Members,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+from onyxfork.control.state import ControlState
+from onyxfork.errors import OnyxforkError, ProtocolError, StorageError
+from onyxfork.messages import PROTOCOL_VERSION, Hello, Timing, open_connection, pack, serve
+from onyxfork.utils import SystemClock, owned_tasks
+
+__all__ = ["Replica", "run_replica"]
+
+log = logging.getLogger(__name__)
+
+RAFT_MESSAGES = (VoteRequest, VoteReply, Append, AppendReply, InstallSnapshot, TimeoutNow)
+PROPOSE_TIMEOUT_S = 3.0
+RECONNECT_MIN_S = 0.1
+RECONNECT_MAX_S = 1.0
+JOIN_INTERVAL_S = 0.5
+MAX_WAITING_PROPOSALS = 20_000
+
+
+class Replica:
+    """A control instance.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+    storage : Storage
+    metrics : Metrics
+    clock : Clock
+    """
+
+    def __init__(self, settings, storage, metrics, clock=None):
+        recovered = storage.recovered
+        self.settings = settings
+        self.storage = storage
+        self.metrics = metrics
+        self.clock = clock or SystemClock()
+        self.rng = Random(f"{recovered.identity}{self.clock.wall_ms()}")
+        self.state = make_state(recovered.state)
+        self.raft = Raft(
+            recovered.identity,
+            recovered.members,
+            recovered.log,
+            recovered.term,
+            recovered.vote,
+            rng=self.rng,
+            timing=RaftTiming(),
+            now=self.clock.now(),
+        )
+        self.fanout = Fanout(self.state, settings.node, self.clock)
+        self.leases = LeaseTable(settings.cells, settings.lease_s, self.raft.timing.election_max_s)
+        self.executor = ThreadPoolExecutor(max_workers=1)
+        self.wake = asyncio.Event()
+        self.waiting = {}
+        self.read_waiters = {}
+        self.next_token = 0
+        self.peers = {}
+        self.forwarded = {}
+        self.announcements = {}
+        self.port = None
+        self.fatal = None
+        self.stopping = False
+        self.spawn = None
+
+    @classmethod
+    def from_config(cls, settings, storage, metrics):
+        """Return a replica on an open data folder."""
+        return cls(settings, storage, metrics)
+
+    @property
+    def is_current(self):
+        """Whether this instance is surely in touch with a quorum."""
+        now = self.clock.now()
+        if self.raft.is_leader:
+            return self.raft.has_quorum_since(now - self.raft.timing.election_max_s)
+        return now - self.raft.leader_heard_at < self.raft.timing.election_max_s
+
+    def hello(self):
+        """Return what this process says of itself."""
+        return Hello(
+            version=PROTOCOL_VERSION,
+            cluster=self.settings.cluster,
+            role="control",
+            node=self.settings.node,
+            incarnation=self.raft.me,
+            zone=self.settings.zone,
+            clock=self.clock.now(),
+        )
+
+    def timing(self):
+        """Return the timing of connections."""
+        given = self.settings.timing
+        return Timing(given.heartbeat_s, given.suspect_s, given.silent_s)
+
+    # Driver
+
+    async def drive(self):
+        """Run the replica until it is stopped or its disk fails."""
+        while self.fatal is None:
+            delay = max(0.0, self.raft.next_wake() - self.clock.now())
+            await wait_for_event(self.wake, delay)
+            self.wake.clear()
+            self.raft.tick(self.clock.now())
+            while self.raft.has_ready() and self.fatal is None:
+                await self.process(self.raft.take_ready())
+            self.keep_leases()
+        raise StorageError(self.fatal)
+
+    async def process(self, ready):
+        """Carry out one `Ready`."""
+        self.send_all(ready.send_now)
+        if ready.must_sync and not await self.make_durable(ready):
+            return
+        self.send_all(ready.send_after_sync)
+        if ready.snapshot is not None:
+            self.load_snapshot(ready.snapshot)
+        for entry in ready.committed:
+            self.apply(entry)
+        for token, confirmed in ready.reads:
+            waiter = self.read_waiters.pop(token, None)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(confirmed)
+        if ready.committed or ready.snapshot:
+            self.fanout.flush()
+        if self.storage.log_bytes > self.settings.snapshot_bytes:
+            await self.compact()
+
+    async def make_durable(self, ready):
+        """Write and sync what `ready` holds; return whether it succeeded."""
+        loop = asyncio.get_running_loop()
+        if ready.snapshot is not None:
+            taken = ready.snapshot
+            hard_state = (self.raft.term, self.raft.vote)
+            arguments = (taken.index, taken.entry_term, taken.members, taken.state, hard_state, [])
+            work = loop.run_in_executor(self.executor, self.storage.save_snapshot, *arguments)
+        else:
+            arguments = (ready.hard_state, ready.entries)
+            work = loop.run_in_executor(self.executor, self.storage.write, *arguments)
+        result = await work
+        if result.is_err():
+            self.fatal = f"{self.storage.folder}: {result.err_value}"
+            log.error("durable write failed, stopping", extra={"reason": self.fatal})
+            self.wake.set()
+            return False
+        if ready.entries:
+            last = ready.entries[-1]
+            self.raft.persisted(last.index, last.term, self.clock.now())
+        return True
+
+    def apply(self, entry):
+        """Apply one committed entry and answer who waits for it."""
+        result = None
+        if entry.kind == COMMAND:
+            result = self.state.apply(entry.index, entry.data)
+        self.state.applied = entry.index
+        waiter = self.waiting.pop(entry.index, None)
+        if waiter is not None and not waiter[1].done():
+            waiter[1].set_result(result if waiter[0] == entry.term else None)
+
+    def load_snapshot(self, message):
+        """Replace the state by one received from the leader."""
+        self.state = make_state(message.state)
+        self.fanout.replace_state(self.state)
+
+    async def compact(self):
+        """Write a snapshot and drop the log before it."""
+        index = self.state.applied
+        term = self.raft.log.term_at(index)
+        if term is None or index <= self.raft.log.base_index:
+            return
+        body = self.state.to_snapshot()
+        members = self.raft.compact(index)
+        hard_state = (self.raft.term, self.raft.vote)
+        tail = list(self.raft.log.entries)
+        loop = asyncio.get_running_loop()
+        arguments = (index, term, members, body, hard_state, tail)
+        work = loop.run_in_executor(self.executor, self.storage.save_snapshot, *arguments)
+        result = await work
+        if result.is_err():
+            self.fatal = f"{self.storage.folder}: {result.err_value}"
+        for last in tail[-1:]:
+            self.raft.persisted(last.index, last.term, self.clock.now())
+        log.info("snapshot written", extra={"index": index, "bytes": len(body)})
+
+    def send_all(self, messages):
+        """Send messages to peers; one for a peer that is not connected is dropped."""
+        for identity, message in messages:
+            connection = self.peers.get(identity)
+            if connection is None or not connection.is_open:
+                continue
+            if message is None:
+                message = self.make_snapshot_message()
+            connection.send(message)
+
+    def make_snapshot_message(self):
+        """Return a snapshot of the applied state for a peer that lags."""
+        index = self.state.applied
+        term = self.raft.log.term_at(index)
+        members = self.raft.members_at(index)
+        return self.raft.snapshot_message(index, term, members, self.state.to_snapshot())
+
+    # Proposals and reads
+
+    async def propose(self, command):
+        """Have a command agreed on and applied.
+
+        Parameters
+        ----------
+        command : attrs instance
+            One of `COMMANDS`.
+
+        Returns
+        -------
+        ChangeResult or None
+            None when it is not known whether it took effect; the same command may be sent again.
+        """
+        if self.raft.is_leader:
+            return await self.propose_here(pack([command]))
+        return await self.forward(Propose(0, pack([command])), None)
+
+    async def propose_here(self, data):
+        """Propose as the leader and wait until it is applied."""
+        if len(self.waiting) >= MAX_WAITING_PROPOSALS:
+            return None
+        index = self.raft.propose(data, self.clock.now())
+        if index is None:
+            return None
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[index] = (self.raft.term, future)
+        self.wake.set()
+        try:
+            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+                return await future
+        except TimeoutError:
+            return None
+
+    async def forward(self, message, otherwise):
+        """Send a request to the leader and return its answer, or `otherwise`."""
+        connection = self.peers.get(self.raft.leader)
+        if connection is None or not connection.is_open:
+            return otherwise
+        self.next_token += 1
+        token = self.next_token
+        message.request = token
+        future = asyncio.get_running_loop().create_future()
+        self.forwarded[token] = future
+        connection.send(message)
+        try:
+            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+                return await future
+        except TimeoutError:
+            return otherwise
+        finally:
+            self.forwarded.pop(token, None)
+
+    async def read_index(self):
+        """Return the index that a linearizable read has to wait for, as the leader.
+
+        Returns
+        -------
+        int or None
+            None when leadership could not be confirmed.
+        """
+        self.next_token += 1
+        token = self.next_token
+        future = asyncio.get_running_loop().create_future()
+        self.read_waiters[token] = future
+        index = self.raft.commit
+        self.raft.read(token, self.clock.now())
+        self.wake.set()
+        try:
+            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+                return index if await future else None
+        except TimeoutError:
+            return None
+        finally:
+            self.read_waiters.pop(token, None)
+
+    async def confirm_read(self):
+        """Wait until a read here is linearizable; return whether it is."""
+        if self.raft.is_leader:
+            index = await self.read_index()
+        else:
+            index = await self.forward(ReadIndex(0), None)
+        deadline = self.clock.now() + PROPOSE_TIMEOUT_S
+        while index is not None and self.state.applied < index:
+            if self.clock.now() > deadline:
+                return False
+            await asyncio.sleep(0.005)
+        return index is not None
+
+    async def answer_read(self, connection, message):
+        """Tell another instance which index its read has to wait for."""
+        index = await self.read_index() if self.raft.is_leader else None
+        connection.send(ReadIndexed(message.request, index))
+
+    # Connections
+
+    async def accept(self, connection):
+        """Serve a connection that a peer, node or operator's tool opened."""
+        connection.counter = self.metrics.counter_for(connection.peer.role)
+        try:
+            await connection.run(self.on_message)
+        finally:
+            self.fanout.drop(connection)
+
+    def on_message(self, connection, message):
+        """Dispatch one message by its type."""
+        if isinstance(message, RAFT_MESSAGES):
+            self.raft.receive(message, self.clock.now())
+            self.wake.set()
+        elif isinstance(message, Propose):
+            self.spawn(self.answer_proposal(connection, message))
+        elif isinstance(message, Renew):
+            self.spawn(self.answer_renewal(connection, message))
+        elif isinstance(message, Follow):
+            self.fanout.follow(connection, message, self.is_current)
+        elif isinstance(message, InForce):
+            self.fanout.note_in_force(connection, message)
+        elif isinstance(message, ReadIndex):
+            self.spawn(self.answer_read(connection, message))
+        elif isinstance(message, (Proposed, Renewed, ReadIndexed)):
+            self.resolve_forwarded(message)
+        elif isinstance(message, Join):
+            self.handle_join(message)
+        else:
+            raise ProtocolError(f"unexpected {type(message).__name__}")
+
+    def resolve_forwarded(self, message):
+        """Hand the leader's answer to whoever forwarded the request."""
+        future = self.forwarded.get(message.request)
+        if future is not None and not future.done():
+            kept = isinstance(message, Renewed)
+            answer = getattr(message, "result", getattr(message, "index", None))
+            future.set_result(message if kept else answer)
+
+    async def answer_proposal(self, connection, message):
+        """Propose for a node and answer it."""
+        if self.raft.is_leader:
+            result = await self.propose_here(message.command)
+        elif connection.peer.role == "control":
+            result = None
+        else:
+            result = await self.forward(Propose(0, message.command), None)
+        connection.send(Proposed(message.request, result))
+
+    async def answer_renewal(self, connection, message):
+        """Renew an entry's leases as the leader, or pass the request on to it."""
+        request = message.request
+        refusal = Renewed(request, False, 0.0, {}, "no leader in reach")
+        if self.raft.is_leader and self.is_current:
+            reply = self.leases.renew(message, self.state, self.clock.now())
+            self.wake.set()
+        elif connection.peer.role == "control":
+            reply = refusal
+        else:
+            reply = await self.forward(message, refusal)
+            reply.request = request
+        connection.send(reply)
+
+    def handle_join(self, message):
+        """Let a replica without a vote become a learner, as the leader."""
+        members = self.raft.members
+        if not self.raft.is_leader or message.member in members.everyone:
+            return
+        learners = {**members.learners, message.member: message.address}
+        for name in list(learners):
+            if name != message.member and name.split("#")[0] == message.name:
+                del learners[name]
+        self.raft.change_members(Members(members.voters, learners), self.clock.now())
+        self.wake.set()
+
+    # Peers
+
+    async def keep_peers(self):
+        """Keep a connection open to every other member, and ask to join while not one."""
+        dialers = {}
+        while True:
+            wanted = {k: v for k, v in self.raft.members.everyone.items() if k != self.raft.me}
+            for identity, address in wanted.items():
+                if identity not in dialers:
+                    dialers[identity] = self.spawn(self.dial(identity, parse_address(address)))
+            for identity in list(dialers):
+                if identity not in wanted:
+                    dialers.pop(identity).cancel()
+                    self.peers.pop(identity, None)
+            if self.raft.me not in self.raft.members.everyone:
+                await self.ask_to_join()
+            await asyncio.sleep(JOIN_INTERVAL_S)
+
+    async def dial(self, identity, address):
+        """Keep one connection to a peer open."""
+        delay = RECONNECT_MIN_S
+        while True:
+            try:
+                async with self.connect(address) as connection:
+                    if connection.peer.incarnation != identity:
+                        raise ProtocolError(f"{address[0]}:{address[1]} has another identity")
+                    self.peers[identity] = connection
+                    delay = RECONNECT_MIN_S
+                    await connection.run(self.on_message)
+            except (OSError, OnyxforkError) as error:
+                log.debug("peer not reached", extra={"peer": identity, "reason": str(error)})
+            await asyncio.sleep(delay * (0.5 + self.rng.random()))
+            delay = min(RECONNECT_MAX_S, delay * 2)
+
+    def connect(self, address):
+        """Return the context of a connection to a peer."""
+        tls = self.settings.tls.contexts()[1] if self.settings.tls else None
+        counter = self.metrics.counter_for("control")
+        return open_connection(address, self.hello(), self.timing(), counter, tls)
+
+    async def ask_to_join(self):
+        """Send a `Join` to every configured instance; the leader among them acts on it."""
+        mine = f"{self.settings.listen.host}:{self.port}"
+        message = Join(self.raft.me, self.settings.node, mine)
+        for name, address in self.settings.members.items():
+            if name == self.settings.node:
+                continue
+            try:
+                async with self.connect(address.pair) as connection:
+                    connection.send(message)
+                    connection.flush()
+                    await asyncio.sleep(0)
+            except (OSError, OnyxforkError):
+                continue
+
+    # Leases, heartbeats
+
+    def keep_leases(self):
+        """As the leader, give cells without a living owner to another entry."""
+        now = self.clock.now()
+        for command in self.leases.due(self.raft, self.state, now, self.clock.wall_ms()):
+            self.spawn(self.propose(command))
+
+    async def keep_followers(self):
+        """Tell followers the version, collect announcements, and declare nodes lost."""
+        while True:
+            await asyncio.sleep(self.fanout.interval_s)
+            self.fanout.beat(self.is_current)
+            lost = self.fanout.find_lost(self.settings.lost_after_s)
+            if lost is not None:
+                await self.propose(lost)
+
+    async def hand_over(self):
+        """Give the lead away before a planned stop."""
+        if self.raft.hand_over(self.clock.now()):
+            self.wake.set()
+            deadline = self.clock.now() + self.raft.timing.election_max_s
+            while self.raft.is_leader and self.clock.now() < deadline:
+                await asyncio.sleep(0.02)
+
+
+def make_state(snapshot):
+    """Return the state in a snapshot, or an empty one."""
+    return ControlState() if snapshot is None else ControlState.from_snapshot(snapshot)
+
+
+def parse_address(text):
+    """Return (host, port) of ``ip:port``."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+async def wait_for_event(event, timeout_s):
+    """Wait until an event is set or a time has passed."""
+    if event.is_set():
+        return
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        pass
+
+
+@asynccontextmanager
+async def run_replica(replica):
+    """Run a replica while the context is open.
+
+    Parameters
+    ----------
+    replica : Replica
+
+    Yields
+    ------
+    asyncio.Task
+        Ends with an exception when the replica can not go on.
+    """
+    listen = replica.settings.listen
+    tls = replica.settings.tls.contexts()[0] if replica.settings.tls else None
+    server = serve(
+        listen.host, listen.port, replica.hello, replica.timing(), replica.accept, tls=tls
+    )
+    async with owned_tasks() as spawn:
+        replica.spawn = spawn
+        async with server as port:
+            replica.port = port
+            driver = asyncio.create_task(replica.drive())
+            spawn(replica.keep_peers())
+            spawn(replica.keep_followers())
+            try:
+                yield driver
+            finally:
+                await replica.hand_over()
+                driver.cancel()
+                await asyncio.gather(driver, return_exceptions=True)
+                replica.executor.shutdown(wait=True)
+
+
--- /dev/null
+++ b/onyxfork/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons: thin programs over the library."""
--- /dev/null
+++ b/onyxfork/daemons/agent.py
@@ -0,0 +1,429 @@
+"""The agent: one beside each upstream, the only authority on what started there."""
+
+import asyncio
+import logging
+from contextlib import asynccontextmanager
+from uuid import uuid4
+
+import aiohttp
+from aiohttp import web
+from attrs import define
+
+from onyxfork.control.client import ControlClient
+from onyxfork.daemons.http_server import (
+    add_common_routes,
+    error_response,
+    read_json_object,
+    run_http,
+)
+from onyxfork.entities.agent_tasks import AgentState
+from onyxfork.entities.catalogue import Node
+from onyxfork.errors import ProtocolError
+from onyxfork.messages import (
+    PROTOCOL_VERSION,
+    Ask,
+    Fetch,
+    Hello,
+    Lead,
+    Leaving,
+    Report,
+    Results,
+    Revoke,
+    Start,
+    Stop,
+    Timing,
+    serve,
+)
+from onyxfork.metrics import Metrics
+from onyxfork.systems import execution
+from onyxfork.upstreams.client import HttpUpstreamClient
+from onyxfork.utils import SystemClock, owned_tasks
+
+__all__ = ["Agent", "run_agent"]
+
+log = logging.getLogger(__name__)
+
+HOUSEKEEPING_S = 0.25
+MAX_LEASE_S = 60.0
+
+
+@define
+class UpstreamLease:
+    """The upstream's announcement and until when it holds."""
+
+    url: str
+    until: float
+    processors: float
+    memory_mb: float
+    accelerators: float
+    slots: int
+
+
+class Agent:
+    """An agent.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+    clock : Clock
+    """
+
+    def __init__(self, settings, clock=None):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.metrics = Metrics("agent", settings.node, settings.zone)
+        self.state = AgentState(incarnation=uuid4().hex[:12], fresh_s=settings.timing.silent_s)
+        self.lead_connection = None
+        self.lease = None
+        self.usage = {}
+        self.upstream = None
+        self.session = None
+        self.results = []
+        self.flush_due = False
+        self.port = None
+        self.http_port = None
+        self.spawn = None
+        self.leave_reason = None
+        tls = settings.tls.contexts() if settings.tls else (None, None)
+        self.server_tls, client_tls = tls
+        self.timing = Timing(
+            settings.timing.heartbeat_s, settings.timing.suspect_s, settings.timing.silent_s
+        )
+        self.control = ControlClient(
+            settings.control,
+            self.hello,
+            self.timing,
+            self.clock,
+            self.metrics.counter_for("control"),
+            client_tls,
+        )
+        self.control.listeners.append(self.on_configuration)
+        self.metrics.gauge("running_tasks", "1", "Tasks running", lambda: self.state.running)
+        self.metrics.gauge("queued_tasks", "1", "Tasks queued here", lambda: self.state.queued)
+
+    @classmethod
+    def from_config(cls, settings):
+        """Return an agent by its settings."""
+        return cls(settings)
+
+    def hello(self):
+        """Return what this process says of itself."""
+        return Hello(
+            version=PROTOCOL_VERSION,
+            cluster=self.settings.cluster,
+            role="agent",
+            node=self.settings.node,
+            incarnation=self.state.incarnation,
+            zone=self.settings.zone,
+            clock=self.clock.now(),
+        )
+
+    # Owner
+
+    async def accept(self, connection):
+        """Serve a connection that an entry opened."""
+        connection.counter = self.metrics.counter_for(connection.peer.role)
+        try:
+            await connection.run(self.on_message)
+        finally:
+            if self.lead_connection is connection:
+                self.lead_connection = None
+
+    def on_message(self, connection, message):
+        """Dispatch one message by its type."""
+        now = self.clock.now()
+        if isinstance(message, Lead):
+            self.take_lead(connection, message, now)
+        elif isinstance(message, Start):
+            self.note_echo(connection)
+            self.queue_results(execution.accept(self.state, message, now))
+            self.begin()
+        elif isinstance(message, Revoke):
+            replies = execution.revoke(self.state, message.tasks, "taken back by its owner", now)
+            self.queue_results(replies)
+        elif isinstance(message, Stop):
+            self.stop_tasks(message, now)
+        elif isinstance(message, Fetch):
+            self.queue_results(execution.fetch(self.state, message.tasks, now))
+        elif isinstance(message, Ask):
+            connection.send(self.report(message))
+        else:
+            raise ProtocolError(f"unexpected {type(message).__name__}")
+
+    def take_lead(self, connection, message, now):
+        """Answer an entry that takes the lead of the cell."""
+        led = execution.lead(self.state, message, now)
+        if led.accepted:
+            self.lead_connection = connection
+        connection.send(led)
+        log.info(
+            "lead taken" if led.accepted else "lead refused",
+            extra={"owner": message.owner, "epoch": message.epoch, "known_epoch": led.epoch},
+        )
+
+    def note_echo(self, connection):
+        """Take the owner's latest proof of being there."""
+        if connection is self.lead_connection:
+            lead = self.state.lead
+            lead.echo = max(lead.echo, connection.lead_echo)
+
+    def begin(self):
+        """Hand ready tasks to the upstream."""
+        if self.lead_connection is not None:
+            self.note_echo(self.lead_connection)
+        for task in execution.begin_ready(self.state, self.clock.now()):
+            self.spawn(self.run_task(task))
+
+    async def run_task(self, task):
+        """Run one task at the upstream and report its end."""
+        key = (task.submission, task.index)
+        start = task.start
+        fields = {"submission": key[0], "task": key[1], "job": start.job}
+        log.debug("task started", extra=fields)
+        outcome = await self.upstream.run(task)
+        now = self.clock.now()
+        result = execution.finish(
+            self.state, key, outcome.outcome.value, outcome.output, outcome.reason, now
+        )
+        labels = {"organisation": start.organisation, "class": start.job}
+        self.metrics.run_ms.record(result.run_ms, labels)
+        self.metrics.queue_ms.record(result.queue_ms, labels)
+        self.metrics.tasks.add(1, {**labels, "outcome": result.outcome})
+        log.debug("task ended", extra={**fields, "outcome": result.outcome})
+        self.queue_results([result])
+        self.begin()
+
+    def stop_tasks(self, message, now):
+        """Drop or stop tasks that nobody waits for."""
+        replies, running = execution.stop(self.state, message.tasks, now)
+        self.queue_results(replies)
+        for submission, index in running:
+            self.spawn(self.upstream.stop(submission, index))
+
+    def queue_results(self, results):
+        """Send results with the others of this turn of the event loop."""
+        self.results += [result for result in results if result is not None]
+        if self.results and not self.flush_due:
+            self.flush_due = True
+            asyncio.get_running_loop().call_soon(self.flush_results)
+
+    def flush_results(self):
+        """Send the collected results to the owner; without one they are kept for its return."""
+        self.flush_due = False
+        results, self.results = self.results, []
+        if self.lead_connection is not None and self.lead_connection.is_open and results:
+            message = Results(results, self.state.free, self.clock.now())
+            self.lead_connection.send(message)
+
+    def report(self, message):
+        """Return rows on what runs here."""
+        now = self.clock.now()
+        rows = [
+            {
+                "worker": self.settings.node,
+                "zone": self.settings.zone,
+                "submission": task.submission,
+                "task": task.index,
+                "state": task.state,
+                "for_ms": round((now - (task.started_at or task.queued_at)) * 1000),
+            }
+            for task in self.state.tasks.values()
+            if task.state != "ended"
+        ]
+        limit = message.limit
+        return Report(message.request, self.settings.node, rows[:limit], len(rows) > limit)
+
+    # Upstream
+
+    async def handle_announce(self, request):
+        """Take an upstream's announcement or renewal."""
+        try:
+            body = await read_json_object(request)
+            lease = read_announcement(body, self.clock.now(), self.settings.max_slots)
+        except ValueError as error:
+            field, _, reason = str(error).partition(": ")
+            return error_response(400, "bad-request", reason or field, field if reason else "")
+        self.take_lease(lease)
+        return web.json_response({"lease_s": lease.until - self.clock.now()})
+
+    def take_lease(self, lease):
+        """Serve with the upstream's capacity, and say so when it is new or has changed."""
+        before = self.lease
+        self.lease = lease
+        if self.leave_reason == "the upstream left" or self.leave_reason == "upstream lease ended":
+            self.leave_reason = None
+        if before is None or before.url != lease.url:
+            self.upstream = HttpUpstreamClient(self.session, lease.url)
+        if self.leave_reason is not None:
+            return
+        changed = before is None or without_time(before) != without_time(lease)
+        if changed or self.state.leaving is not None or self.state.slots != lease.slots:
+            self.state.slots = lease.slots
+            self.state.leaving = None
+            self.announce("serving")
+            self.tell_owner()
+
+    async def handle_leave(self, _):
+        """Take no new work because the upstream leaves."""
+        self.leave("the upstream left")
+        return web.json_response({"running": self.state.running})
+
+    async def handle_usage(self, request):
+        """Take a report of usage, which lags behind what runs."""
+        try:
+            self.usage = await read_json_object(request)
+        except ValueError as error:
+            return error_response(400, "bad-request", str(error))
+        return web.json_response({})
+
+    def leave(self, reason):
+        """Take no new work; running tasks end, queued ones go back as not run."""
+        self.leave_reason = reason
+        if self.state.leaving == reason:
+            return
+        self.queue_results(execution.leave(self.state, reason, self.clock.now()))
+        self.announce("leaving")
+        if self.lead_connection is not None:
+            self.lead_connection.send(Leaving(reason))
+
+    def tell_owner(self):
+        """Let the owner lead anew after a change of capacity."""
+        if self.lead_connection is not None:
+            self.lead_connection.close("the upstream's capacity changed")
+
+    def announce(self, state):
+        """Make this worker known to control."""
+        lease = self.lease
+        if lease is None:
+            return
+        node = Node(
+            name=self.settings.node,
+            role="agent",
+            host=self.settings.listen.host,
+            port=self.port,
+            zone=self.settings.zone,
+            rack=self.settings.rack,
+            incarnation=self.state.incarnation,
+            slots=lease.slots,
+            processors=lease.processors,
+            memory_mb=lease.memory_mb,
+            accelerators=lease.accelerators,
+            state=state,
+            sequence=self.control.node.sequence if self.control.node else 0,
+        )
+        self.control.announce(node)
+
+    def on_configuration(self, _):
+        """Leave or return as operators drain or undrain this worker, its rack or its zone."""
+        drain = self.control.catalogue.drained(self.as_drainable())
+        if drain is not None:
+            self.leave(f"drained: {drain.kind} {drain.name}")
+        elif (self.leave_reason or "").startswith("drained"):
+            self.leave_reason = None
+            if self.lease is not None:
+                self.take_lease(self.lease)
+
+    def as_drainable(self):
+        """Return this worker as a row that drains are matched with."""
+        settings = self.settings
+        return Node(settings.node, "agent", "", 0, settings.zone, settings.rack)
+
+    # Time
+
+    async def housekeeping(self):
+        """Expire the upstream's lease, stale queued tasks and old results."""
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            now = self.clock.now()
+            if self.lead_connection is not None:
+                self.note_echo(self.lead_connection)
+            if self.lease is not None and now > self.lease.until and not self.leave_reason:
+                self.leave("upstream lease ended")
+            self.queue_results(execution.drop_stale(self.state, now))
+            execution.forget(self.state, now)
+
+    def health(self):
+        """Return readiness and details."""
+        ready = self.state.slots > 0 and self.state.leaving is None
+        return ready, {
+            "upstream": self.lease.url if self.lease else None,
+            "leaving": self.state.leaving,
+            "running": self.state.running,
+            "queued": self.state.queued,
+            "configuration_current": self.control.is_current,
+            "configuration_version": self.control.version,
+        }
+
+    async def stop(self):
+        """Stop as planned: no new work, running tasks end and are reported."""
+        self.leave("the agent stops")
+        deadline = self.clock.now() + self.settings.drain_s
+        while self.state.running and self.clock.now() < deadline:
+            await asyncio.sleep(0.02)
+        if self.control.node is not None:
+            self.control.node.state = "left"
+            await self.control.confirm_announced(1.0)
+        await asyncio.sleep(0.05)
+
+    def make_app(self):
+        """Return the HTTP application for the upstream, health and metrics."""
+        app = web.Application(client_max_size=65536)
+        app.router.add_post("/v1/announce", self.handle_announce)
+        app.router.add_post("/v1/leave", self.handle_leave)
+        app.router.add_post("/v1/usage", self.handle_usage)
+        add_common_routes(app, self.metrics, self.health)
+        return app
+
+
+def without_time(lease):
+    """Return a lease's fields other than its end."""
+    return (lease.url, lease.slots, lease.processors, lease.memory_mb, lease.accelerators)
+
+
+def read_announcement(body, now, max_slots):
+    """Return the lease in an announcement.
+
+    Raises
+    ------
+    ValueError
+        ``field: reason``.
+    """
+    url = body.get("url")
+    if not isinstance(url, str) or not url.startswith("http://"):
+        raise ValueError(f"url: expected http://ip:port, got {url!r}")
+    slots = body.get("slots")
+    if type(slots) is not int or not 1 <= slots <= max_slots:
+        raise ValueError(f"slots: expected a whole number from 1 to {max_slots}, got {slots!r}")
+    sizes = {}
+    for name in ("processors", "memory_mb", "accelerators", "lease_s"):
+        value = body.get(name, 0.0)
+        if type(value) not in (int, float) or not 0 <= value < 1e12:
+            raise ValueError(f"{name}: expected a number from 0 on, got {value!r}")
+        sizes[name] = float(value)
+    lease_s = min(MAX_LEASE_S, sizes.pop("lease_s") or MAX_LEASE_S)
+    return UpstreamLease(url=url, until=now + lease_s, slots=slots, **sizes)
+
+
+@asynccontextmanager
+async def run_agent(agent):
+    """Run an agent while the context is open."""
+    settings = agent.settings
+    connector = aiohttp.TCPConnector(limit=settings.max_slots + 8)
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=2.0)
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+        agent.session = session
+        async with owned_tasks() as spawn:
+            agent.spawn = spawn
+            server = serve(
+                settings.listen.host,
+                settings.listen.port,
+                agent.hello,
+                agent.timing,
+                agent.accept,
+                tls=agent.server_tls,
+            )
+            async with server as port, run_http(agent.make_app(), settings.http) as http_port:
+                agent.port, agent.http_port = port, http_port
+                spawn(agent.control.run())
+                spawn(agent.housekeeping())
+                yield agent
--- /dev/null
+++ b/onyxfork/daemons/control.py
@@ -0,0 +1,137 @@
+"""The control instance: a thin program over a replica, its storage and the administration API."""
+
+import logging
+from contextlib import asynccontextmanager
+
+import attrs
+from aiohttp import web
+
+from onyxfork.control.access import authenticate
+from onyxfork.control.admin import Administration
+from onyxfork.control.raft_messages import Members
+from onyxfork.control.replica import Replica, run_replica
+from onyxfork.control.storage import open_storage
+from onyxfork.daemons.http_server import (
+    add_common_routes,
+    error_response,
+    read_json_object,
+    run_http,
+)
+from onyxfork.metrics import Metrics
+
+__all__ = ["ControlDaemon", "run_control"]
+
+log = logging.getLogger(__name__)
+
+STATUS = {
+    "ok": 200,
+    "syntax": 400,
+    "invalid": 400,
+    "forbidden": 403,
+    "missing": 404,
+    "conflict": 409,
+    "exists": 409,
+    "expired": 410,
+    "unavailable": 503,
+    "unknown": 504,
+}
+
+
+class ControlDaemon:
+    """A control instance with its administration API.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+    replica : Replica
+    """
+
+    def __init__(self, settings, replica):
+        self.settings = settings
+        self.replica = replica
+        self.administration = Administration(replica)
+        self.http_port = None
+
+    async def handle_ask(self, request):
+        """Carry out one statement of an operator."""
+        header = request.headers.get("Authorization")
+        catalogue = self.replica.state.catalogue
+        caller = authenticate(header, catalogue, self.settings.initial_token)
+        if caller.is_err():
+            return error_response(401, "unauthorized", caller.err_value)
+        try:
+            body = await read_json_object(request)
+        except ValueError as error:
+            return error_response(400, "bad-request", str(error))
+        text = body.get("text")
+        if not isinstance(text, str):
+            return error_response(400, "bad-request", "expected a text", "text")
+        command = body.get("command")
+        if command is not None and not isinstance(command, str):
+            return error_response(400, "bad-request", "expected a version 7 UUID", "command")
+        reply = await self.administration.run(text, caller.ok_value, command)
+        return web.json_response(attrs.asdict(reply), status=STATUS.get(reply.code, 400))
+
+    def health(self):
+        """Return readiness and details."""
+        raft = self.replica.raft
+        return self.replica.is_current, {
+            "role": raft.role,
+            "leader": raft.leader,
+            "term": raft.term,
+            "commit": raft.commit,
+            "applied": self.replica.state.applied,
+            "version": self.replica.state.version,
+            "votes": raft.is_voter,
+            "followers": len(self.replica.fanout.followers),
+        }
+
+    def make_app(self):
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=65536)
+        app.router.add_post("/v1/ask", self.handle_ask)
+        add_common_routes(app, self.replica.metrics, self.health)
+        return app
+
+
+def initial_identity(settings, bootstrap):
+    """Return identity and members of a replica whose data folder is new.
+
+    A bootstrapping replica is one of the first members; any other new folder makes a replica that
+    has to join, because it must not vote before it has learned what was agreed.
+    """
+    if not bootstrap:
+        return None, Members()
+    voters = {f"{name}#0": str(address) for name, address in settings.members.items()}
+    return f"{settings.node}#0", Members(voters)
+
+
+@asynccontextmanager
+async def run_control(settings, bootstrap=False):
+    """Run a control instance while the context is open.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+    bootstrap : bool
+        Whether a new data folder makes one of the first members.
+
+    Yields
+    ------
+    tuple of (ControlDaemon, asyncio.Task)
+        The task ends with an exception when the instance can not go on.
+    """
+    identity, members = initial_identity(settings, bootstrap)
+    opened = open_storage(
+        settings.data_folder, settings.cluster, settings.node, identity, members
+    )
+    with opened as storage:
+        if storage.recovered.cut_bytes:
+            log.warning("torn tail cut", extra={"bytes": storage.recovered.cut_bytes})
+        metrics = Metrics("control", settings.node, settings.zone)
+        replica = Replica.from_config(settings, storage, metrics)
+        daemon = ControlDaemon(settings, replica)
+        async with run_replica(replica) as driver:
+            async with run_http(daemon.make_app(), settings.http) as port:
+                daemon.http_port = port
+                yield daemon, driver
--- /dev/null
+++ b/onyxfork/daemons/entry.py
@@ -0,0 +1,305 @@
+"""The entry: a thin program over the front, the owners of cells and the control client."""
+
+import asyncio
+import logging
+from contextlib import asynccontextmanager
+from uuid import uuid4
+
+from aiohttp import web
+
+from onyxfork.control.client import ControlClient
+from onyxfork.daemons.http_server import add_common_routes, run_http
+from onyxfork.entities.catalogue import Node
+from onyxfork.entities.outcomes import Code, State
+from onyxfork.entities.submissions import Answered
+from onyxfork.entry.front import Front, from_submit, rendezvous, to_answer
+from onyxfork.entry.http_api import add_caller_routes
+from onyxfork.entry.owner import CellOwner
+from onyxfork.entry.peers import PeerLinks
+from onyxfork.errors import ProtocolError
+from onyxfork.messages import (
+    PROTOCOL_VERSION,
+    Ask,
+    Cancel,
+    Hello,
+    Look,
+    Report,
+    Submit,
+    Timing,
+    serve,
+)
+from onyxfork.metrics import Metrics
+from onyxfork.systems.limits import limit_rows
+from onyxfork.utils import SystemClock, owned_tasks
+
+__all__ = ["Entry", "run_entry"]
+
+log = logging.getLogger(__name__)
+
+RENEW_SHARE = 0.2
+DEFAULT_LEASE_S = 2.0
+
+
+class Entry:
+    """An entry.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    clock : Clock
+    """
+
+    def __init__(self, settings, clock=None):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.metrics = Metrics("entry", settings.node, settings.zone)
+        self.incarnation = uuid4().hex[:12]
+        tls = settings.tls.contexts() if settings.tls else (None, None)
+        self.server_tls, self.client_tls = tls
+        given = settings.timing
+        self.timing = Timing(given.heartbeat_s, given.suspect_s, given.silent_s)
+        self.control = ControlClient(
+            settings.control,
+            self.hello,
+            self.timing,
+            self.clock,
+            self.metrics.counter_for("control"),
+            self.client_tls,
+        )
+        self.control.listeners.append(self.on_configuration)
+        self.front = Front(self)
+        self.peers = PeerLinks(self)
+        self.owners = {}
+        self.lease_until = float("-inf")
+        self.lease_s = DEFAULT_LEASE_S
+        self.stopping = False
+        self.spawn = None
+        self.port = None
+        self.http_port = None
+        self.metrics.gauge("waiting_tasks", "1", "Tasks waiting", self.count_waiting)
+        self.metrics.gauge("open_requests", "1", "Requests held", lambda: self.front.open_requests)
+        self.metrics.gauge("configuration_age_s", "s", "Since last current", self.control.age_s)
+
+    @classmethod
+    def from_config(cls, settings):
+        """Return an entry by its settings."""
+        return cls(settings)
+
+    def hello(self):
+        """Return what this process says of itself."""
+        return Hello(
+            version=PROTOCOL_VERSION,
+            cluster=self.settings.cluster,
+            role="entry",
+            node=self.settings.node,
+            incarnation=self.incarnation,
+            zone=self.settings.zone,
+            clock=self.clock.now(),
+        )
+
+    def count_waiting(self):
+        """Return how many tasks wait in the cells owned here."""
+        return sum(owner.state.waiting_tasks for owner in self.owners.values())
+
+    # Leases and cells
+
+    def holds_lease(self):
+        """Return whether the leases on cells surely hold."""
+        return self.clock.now() < self.lease_until
+
+    async def keep_lease(self):
+        """Renew the leases until cancelled; owners stop placing when they run out."""
+        while True:
+            if not self.stopping:
+                await self.renew()
+            await asyncio.sleep(self.lease_s * RENEW_SHARE)
+
+    async def renew(self):
+        """Renew once."""
+        sent_at = self.clock.now()
+        demand = {}
+        for owner in self.owners.values():
+            for name, value in limit_rows(owner.state).items():
+                demand[name] = demand.get(name, 0.0) + value
+        reply = await self.control.renew(self.settings.node, self.incarnation, demand)
+        if reply is None or not reply.granted or self.stopping:
+            return
+        self.lease_s = reply.lease_s
+        held = self.holds_lease()
+        self.lease_until = sent_at + reply.lease_s
+        for owner in self.owners.values():
+            owner.take_shares(reply.shares)
+            if not held:
+                owner.wake()
+
+    def cell_of_worker(self, name):
+        """Return the name of the cell that a worker belongs to."""
+        return rendezvous(name, sorted(self.control.catalogue.tables["cell"]))
+
+    def on_configuration(self, changed):
+        """Begin and end ownership as cells are assigned, and tell owners of changes."""
+        for row in list(self.control.catalogue.rows("cell")):
+            self.follow_cell(row)
+        for owner in self.owners.values():
+            owner.refresh(changed)
+
+    def follow_cell(self, row):
+        """Own a cell exactly while it is assigned to this process."""
+        mine = (row.owner, row.incarnation) == (self.settings.node, self.incarnation)
+        owner = self.owners.get(row.name)
+        if owner is not None and (not mine or owner.state.epoch != row.epoch):
+            self.drop_owner(row.name)
+            owner = None
+        if mine and owner is None and not self.stopping:
+            log.info("cell taken", extra={"cell": row.name, "epoch": row.epoch})
+            self.owners[row.name] = CellOwner(row, self)
+
+    def drop_owner(self, name):
+        """Stop to own a cell."""
+        log.info("cell given up", extra={"cell": name})
+        self.owners.pop(name).close()
+
+    # Other entries
+
+    async def accept(self, connection):
+        """Serve a connection that another entry opened."""
+        connection.counter = self.metrics.counter_for(connection.peer.role)
+        await connection.run(self.on_message)
+
+    def on_message(self, connection, message):
+        """Dispatch one message of another entry."""
+        if isinstance(message, Submit):
+            self.spawn(self.answer_submit(connection, message))
+        elif isinstance(message, (Look, Cancel)):
+            connection.send(self.answer_about(message))
+        elif isinstance(message, Ask):
+            connection.send(self.report(message))
+        else:
+            raise ProtocolError(f"unexpected {type(message).__name__}")
+
+    async def answer_submit(self, connection, message):
+        """Own a submission that another entry received."""
+        owner = self.owner_of(message.submission)
+        if owner is None:
+            answered = Answered(message.submission, State.NOT_RUN, Code.MOVED, "not the owner")
+        else:
+            request = from_submit(message, self.clock.now())
+            answered = await owner.submit(request, message.wait)
+        connection.send(to_answer(answered, message.request))
+
+    def owner_of(self, submission):
+        """Return the owner of a submission's cell when it is here."""
+        cell = self.front.cell_for(submission)
+        return self.owners.get(cell.name) if cell is not None else None
+
+    def answer_about(self, message):
+        """Answer how a submission stands, or end it."""
+        owner = self.owner_of(message.submission)
+        answered = None
+        if owner is not None:
+            act = owner.find if isinstance(message, Look) else owner.cancel
+            answered = act(message.submission)
+        if answered is None:
+            name = message.submission
+            answered = Answered(name, State.NOT_RUN, Code.UNKNOWN_JOB, "not known")
+        return to_answer(answered, message.request)
+
+    def report(self, message):
+        """Return rows on what waits and runs in the cells owned here."""
+        rows = []
+        for owner in self.owners.values():
+            rows += owner.report_rows(message.table, message.limit + 1 - len(rows))
+        limit = message.limit
+        return Report(message.request, self.settings.node, rows[:limit], len(rows) > limit)
+
+    # Life
+
+    def announce(self, state="serving"):
+        """Make this entry known to control."""
+        settings = self.settings
+        self.control.announce(
+            Node(
+                name=settings.node,
+                role="entry",
+                host=settings.listen.host,
+                port=self.port,
+                zone=settings.zone,
+                incarnation=self.incarnation,
+                state=state,
+                sequence=self.control.node.sequence if self.control.node else 0,
+            )
+        )
+
+    def health(self):
+        """Return readiness and details; a stopping entry is not ready, so a balancer leaves it."""
+        known = bool(self.control.catalogue.tables["cell"])
+        ready = known and not self.stopping
+        return ready, {
+            "stopping": self.stopping,
+            "cells": sorted(self.owners),
+            "lease_held": self.holds_lease(),
+            "configuration_current": self.control.is_current,
+            "configuration_version": self.control.version,
+            "open_requests": self.front.open_requests,
+        }
+
+    async def stop(self):
+        """Stop as planned.
+
+        The health check fails first, then the cells go to other entries, which take over what
+        runs; requests held here are answered by their new owner before the process ends.
+        """
+        self.stopping = True
+        await asyncio.sleep(self.settings.announce_wait_s)
+        await self.hand_cells_over()
+        deadline = self.clock.now() + self.settings.drain_s
+        while self.front.open_requests and self.clock.now() < deadline:
+            await asyncio.sleep(0.02)
+        if self.control.node is not None:
+            self.control.node.state = "left"
+            await self.control.confirm_announced(1.0)
+
+    async def hand_cells_over(self):
+        """Give the cells up when another entry can take them, else finish what is held."""
+        others = [
+            node
+            for node in self.control.catalogue.rows("node")
+            if node.role == "entry"
+            and node.state == "serving"
+            and node.name != self.settings.node
+        ]
+        if not others or not self.owners:
+            return
+        self.lease_until = float("-inf")
+        for name in list(self.owners):
+            self.drop_owner(name)
+        await self.control.renew(self.settings.node, self.incarnation, {}, stopping=True)
+
+    def make_app(self):
+        """Return the HTTP application for callers, health and metrics."""
+        app = web.Application(client_max_size=self.settings.max_body_bytes)
+        add_caller_routes(app, self)
+        add_common_routes(app, self.metrics, self.health)
+        return app
+
+
+@asynccontextmanager
+async def run_entry(entry):
+    """Run an entry while the context is open."""
+    settings = entry.settings
+    async with owned_tasks() as spawn:
+        entry.spawn = spawn
+        server = serve(
+            settings.listen.host,
+            settings.listen.port,
+            entry.hello,
+            entry.timing,
+            entry.accept,
+            tls=entry.server_tls,
+        )
+        async with server as port, run_http(entry.make_app(), settings.http) as http_port:
+            entry.port, entry.http_port = port, http_port
+            spawn(entry.control.run())
+            spawn(entry.keep_lease())
+            entry.announce()
+            yield entry
--- /dev/null
+++ b/onyxfork/daemons/run.py
@@ -0,0 +1,104 @@
+"""Running a daemon until it is told to stop."""
+
+import asyncio
+import logging
+import signal
+from contextlib import asynccontextmanager
+
+from onyxfork.daemons.agent import Agent, run_agent
+from onyxfork.daemons.control import run_control
+from onyxfork.daemons.entry import Entry, run_entry
+from onyxfork.logs import start_logging
+from onyxfork.upstreams.standin import StandInUpstream, run_upstream
+
+__all__ = ["run_daemon", "stop_signal"]
+
+log = logging.getLogger(__name__)
+
+
+@asynccontextmanager
+async def stop_signal():
+    """Yield an event that is set by SIGTERM or Ctrl-C."""
+    event = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, event.set)
+    try:
+        yield event
+    finally:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.remove_signal_handler(number)
+
+
+async def serve_entry(settings, stop):
+    """Run an entry until `stop` is set, then stop it as planned."""
+    async with run_entry(Entry.from_config(settings)) as entry:
+        log.info("started", extra={"port": entry.port, "http_port": entry.http_port})
+        await stop.wait()
+        await entry.stop()
+
+
+async def serve_agent(settings, stop):
+    """Run an agent until `stop` is set, then stop it as planned."""
+    async with run_agent(Agent.from_config(settings)) as agent:
+        log.info("started", extra={"port": agent.port, "http_port": agent.http_port})
+        await stop.wait()
+        await agent.stop()
+
+
+async def serve_control(settings, stop, bootstrap):
+    """Run a control instance until `stop` is set or its disk fails."""
+    async with run_control(settings, bootstrap) as (daemon, driver):
+        log.info("started", extra={"port": daemon.replica.port, "http_port": daemon.http_port})
+        waiting = asyncio.create_task(stop.wait())
+        await asyncio.wait([waiting, driver], return_when=asyncio.FIRST_COMPLETED)
+        waiting.cancel()
+        if driver.done():
+            driver.result()
+
+
+async def serve_upstream(settings, stop):
+    """Run a stand-in upstream until `stop` is set; what runs ends first."""
+    journal = open(settings.journal, "a", encoding="utf-8") if settings.journal else None
+    try:
+        upstream = StandInUpstream.from_config(settings, journal)
+        async with run_upstream(upstream) as session:
+            log.info("started", extra={"http_port": upstream.port})
+            await stop.wait()
+            await upstream.leave(session)
+    finally:
+        if journal is not None:
+            journal.close()
+
+
+SERVERS = {
+    "entry": serve_entry,
+    "agent": serve_agent,
+    "control": serve_control,
+    "upstream": serve_upstream,
+}
+
+
+def run_daemon(settings, **options):
+    """Run the daemon of some settings until it is told to stop.
+
+    Parameters
+    ----------
+    settings : EntrySettings, AgentSettings, ControlSettings or UpstreamSettings
+    **options
+        Passed to the daemon.
+
+    Raises
+    ------
+    OnyxforkError
+        When it can not start or can not go on.
+    """
+    zone = getattr(settings, "zone", "")
+    start_logging(settings.role, settings.node, zone, settings.log_level)
+
+    async def main():
+        async with stop_signal() as stop:
+            await SERVERS[settings.role](settings, stop, **options)
+        log.info("stopped")
+
+    asyncio.run(main())
--- /dev/null
+++ b/onyxfork/entities/agent_tasks.py
@@ -0,0 +1,81 @@
+"""Tables of an agent: what it was asked to run and what became of it."""
+
+from heapq import heappush
+
+from attrs import define, field
+
+from onyxfork.messages import TaskResult, TaskStart
+
+__all__ = ["AgentTask", "AgentState", "Leadership"]
+
+
+@define(slots=True)
+class AgentTask:
+    """A task known to an agent; `state` is ``queued``, ``running`` or ``ended``.
+
+    An ended task without a start is a tombstone: attempts up to `attempt` never start.
+    """
+
+    submission: str
+    index: int
+    attempt: int
+    state: str
+    start: TaskStart | None = None
+    result: TaskResult | None = None
+    queued_at: float = 0.0
+    started_at: float = 0.0
+    ended_at: float = 0.0
+    started: bool = False
+
+
+@define
+class Leadership:
+    """The owner of the worker's cell; `echo` is the agent's own time that it last proved."""
+
+    cell: str = ""
+    epoch: int = 0
+    owner: str = ""
+    echo: float = float("-inf")
+
+
+@define
+class AgentState:
+    """Everything an agent decides from.
+
+    Parameters
+    ----------
+    incarnation : str
+        New at each start of the process.
+    slots : int
+        Tasks that run at once; 0 until an upstream has announced itself.
+    fresh_s : float
+        A task begins only while the owner's last proof is younger than this.
+    retention_s : float
+        How long ended tasks are remembered.
+    """
+
+    incarnation: str
+    slots: int = 0
+    fresh_s: float = 2.0
+    retention_s: float = 420.0
+    result_bytes_s: float = 60.0
+    leaving: str | None = None
+    lead: Leadership = field(factory=Leadership)
+    tasks: dict[tuple[str, int], AgentTask] = field(factory=dict)
+    queue: list[tuple[float, int, tuple[str, int]]] = field(factory=list)
+    ended: list[tuple[float, tuple[str, int]]] = field(factory=list)
+    running: int = 0
+    queued: int = 0
+    sequence: int = 0
+
+    @property
+    def free(self):
+        """Slots neither running a task nor promised to a queued one; negative when backlogged."""
+        return self.slots - self.running - self.queued
+
+    def enqueue(self, task):
+        """Put a task into the queue by its order."""
+        self.sequence += 1
+        self.queued += 1
+        key = (task.submission, task.index)
+        heappush(self.queue, (task.start.order, self.sequence, key))
--- /dev/null
+++ b/onyxfork/entities/dispatch.py
@@ -0,0 +1,156 @@
+"""The tables from which the owner of cells decides."""
+
+from collections import defaultdict
+from random import Random
+
+from attrs import define, field
+
+from onyxfork.entities.limits import Limit
+from onyxfork.entities.submissions import Lane, Submission
+from onyxfork.entities.workers import Worker, WorkerIndex
+from onyxfork.messages import TaskId, TaskStart
+
+__all__ = ["Dispatch", "Outbox", "Tuning"]
+
+
+@define
+class Tuning:
+    """Numbers that steer decisions.
+
+    Parameters
+    ----------
+    order_offset_s : dict
+        Seconds by which a less urgent submission yields to a more urgent one that arrives later;
+        finite, so that nothing starves.
+    prefetch : int
+        Tasks queued at an agent beyond its slots while much work waits.
+    eject_failures : float
+        Weighted share of failures above which a worker is ejected.
+    max_ejected_share : float
+        Ejected workers are never more than this share of the cell.
+    slow_speed : float
+        Workers slower than this are used only when waiting would take longer.
+    max_waiting_tasks : int
+        Bound on tasks waiting in this process.
+    answer_retention_s : float
+        How long answers are kept for resubmissions.
+    lost_after_s : float
+        A worker unreachable for this long is given up with everything outstanding on it.
+    """
+
+    order_offset_s: dict[str, float] = field(
+        factory=lambda: {"highest": 0.0, "urgent": 30.0, "normal": 60.0, "low": 120.0}
+    )
+    size_bias: float = 1.0
+    prefetch: int = 1
+    prefetch_backlog: float = 0.5
+    eject_failures: float = 0.5
+    eject_min_bad: int = 3
+    eject_s: float = 5.0
+    max_eject_s: float = 60.0
+    max_ejected_share: float = 0.34
+    slow_speed: float = 1.6
+    max_waiting_tasks: int = 200_000
+    answer_retention_s: float = 300.0
+    lost_after_s: float = 8.0
+    stop_min_ms: float = 50.0
+
+
+@define
+class Outbox:
+    """What the daemon has to send or do after a tick.
+
+    Parameters
+    ----------
+    starts, revokes, stops, fetches : dict
+        Map a worker's name to messages' items.
+    answered : list of Submission
+        Submissions that have just got their final answer.
+    """
+
+    starts: dict[str, list[TaskStart]] = field(factory=lambda: defaultdict(list))
+    revokes: dict[str, list[TaskId]] = field(factory=lambda: defaultdict(list))
+    stops: dict[str, list[TaskId]] = field(factory=lambda: defaultdict(list))
+    fetches: dict[str, list[TaskId]] = field(factory=lambda: defaultdict(list))
+    answered: list[Submission] = field(factory=list)
+
+
+@define
+class RunTimes:
+    """Learned run time of a job: the mean, and the ratio of actual to declared."""
+
+    mean_ms: float
+    ratio: float = 1.0
+    samples: int = 0
+
+
+@define(eq=False)
+class Takeover:
+    """What a new owner found on the workers of its cell.
+
+    Parameters
+    ----------
+    at_wall_ms : int or None
+        When this process became owner after another one; None when there was none before.
+    unaccounted : set of str
+        Workers that have not yet told what they started for the former owner.
+    found : dict
+        Maps a submission to the tasks that a worker had already begun: index to worker.
+    held : list of str
+        Submissions that wait until every worker is accounted for.
+    """
+
+    at_wall_ms: int | None = None
+    unaccounted: set[str] = field(factory=set)
+    vanished: set[str] = field(factory=set)
+    found: dict[str, dict[int, str]] = field(factory=dict)
+    held: list[str] = field(factory=list)
+
+
+@define(eq=False)
+class Dispatch:
+    """Tables of one owner.
+
+    Parameters
+    ----------
+    cell : str
+    epoch : int
+    tuning : Tuning
+    policy : PlacementPolicy
+    rng : random.Random
+        The only source of randomness.
+    """
+
+    cell: str
+    policy: object
+    tuning: Tuning = field(factory=Tuning)
+    rng: Random = field(factory=lambda: Random(0))
+    epoch: int = 0
+    catalogue: object = None
+    workers: dict[str, Worker] = field(factory=dict)
+    index: WorkerIndex = field(factory=WorkerIndex)
+    slow: dict[str, Worker] = field(factory=dict)
+    ejected: dict[str, Worker] = field(factory=dict)
+    submissions: dict[str, Submission] = field(factory=dict)
+    lanes: dict[tuple, Lane] = field(factory=dict)
+    ready: list[tuple[float, int, Lane]] = field(factory=list)
+    ready_sequence: int = 0
+    limits: dict[str, Limit] = field(factory=dict)
+    shares: dict[str, float] = field(factory=dict)
+    default_share: float = 1.0
+    run_times: dict[tuple, RunTimes] = field(factory=dict)
+    organisation_tags: dict[str, float] = field(factory=dict)
+    deadlines: list[tuple[float, str]] = field(factory=list)
+    retained: list[tuple[float, str]] = field(factory=list)
+    parked_limits: dict[str, Limit] = field(factory=dict)
+    held: list[tuple[float, int, Lane]] = field(factory=list)
+    takeover: Takeover = field(factory=lambda: Takeover())
+    waiting_tasks: int = 0
+    waiting_ms: dict[str, float] = field(factory=lambda: defaultdict(float))
+    outbox: Outbox = field(factory=Outbox)
+    wake_at: float = float("inf")
+
+    def take_outbox(self):
+        """Return what has collected since the last call."""
+        outbox, self.outbox = self.outbox, Outbox()
+        return outbox
--- /dev/null
+++ b/onyxfork/entry/reports.py
@@ -0,0 +1,93 @@
+"""Rows that an owner reports to operators: what runs, where, and why."""
+
+from itertools import islice
+
+from onyxfork.entities.outcomes import State
+from onyxfork.systems.placement import wait_reason
+
+__all__ = ["REPORTS", "submission_rows", "worker_rows", "limit_report_rows"]
+
+
+def submission_rows(state, now, limit):
+    """Return rows on submissions, running and lately answered."""
+    return [
+        submission_row(submission, now) for submission in islice(state.submissions.values(), limit)
+    ]
+
+
+def submission_row(submission, now):
+    """Return the row of one submission."""
+    request, answered = submission.request, submission.answer
+    running = submission.state is State.RUNNING
+    since = now if running else submission.answered_at
+    return {
+        "submission": submission.name,
+        "organisation": request.organisation,
+        "team": request.team,
+        "service": request.service,
+        "job": request.job,
+        "state": submission.state.value,
+        "tasks": len(submission.attempts),
+        "done": submission.done,
+        "running": len(submission.sent) if running else 0,
+        "waiting": len(submission.waiting),
+        "workers": ",".join(sorted(set(submission.sent.values()))) if running else "",
+        "age_ms": round((since - submission.arrived) * 1000),
+        "why_there": submission.placed_because,
+        "why_waiting": wait_reason(submission),
+        "why": answered.reason or "" if answered is not None else "",
+    }
+
+
+
+
+def worker_rows(state, now, limit):
+    """Return rows on the workers of the cell."""
+    return [
+        {
+            "worker": worker.name,
+            "zone": worker.zone,
+            "rack": worker.rack,
+            "state": worker.state,
+            "slots": worker.slots,
+            "outstanding": len(worker.outstanding),
+            "speed": round(worker.speed, 2),
+            "failures": round(worker.failures, 2),
+            "why": worker_reason(worker, now),
+        }
+        for worker in islice(state.workers.values(), limit)
+    ]
+
+
+def worker_reason(worker, now):
+    """Return in words why a worker is not simply serving."""
+    if worker.state == "ejected":
+        left_s = max(0.0, worker.ejected_until - now)
+        return f"failed too many tasks; tried again in {left_s:.1f} s"
+    if worker.state == "lost":
+        return f"not reached for {now - worker.lost_at:.1f} s"
+    if worker.state == "probing":
+        return "on trial with one task at a time"
+    return ""
+
+
+def limit_report_rows(state, now, limit):
+    """Return rows on limits in use."""
+    return [
+        {
+            "limit": name,
+            "running": entry.running,
+            "max_running": entry.max_running if entry.max_running != float("inf") else None,
+            "starts_per_s": entry.starts_per_s if entry.starts_per_s != float("inf") else None,
+            "waiting": entry.waiting,
+            "share": state.shares.get(name, state.default_share),
+        }
+        for name, entry in islice(state.limits.items(), limit)
+    ]
+
+
+REPORTS = {
+    "submissions": submission_rows,
+    "workers": worker_rows,
+    "limits": limit_report_rows,
+}
--- /dev/null
+++ b/onyxfork/language/ask.py
@@ -0,0 +1,122 @@
+"""The client of the administration API: one statement, or a prompt with history."""
+
+import asyncio
+import json
+import os
+import sys
+import time
+from pathlib import Path
+
+import aiohttp
+
+from onyxfork.errors import OnyxforkError, UnavailableError
+from onyxfork.language.rows import render_rows
+from onyxfork.utils.ids import new_id
+
+__all__ = ["ask_once", "ask_prompt", "read_token", "send_statement"]
+
+TIMEOUT_S = 6.0
+ATTEMPTS = 3
+HISTORY_FILE = ".onyxfork_history"
+
+
+def read_token(token, token_file):
+    """Return the token given, in the file, or in the environment."""
+    if token:
+        return token
+    if token_file is not None:
+        try:
+            return Path(token_file).read_text(encoding="utf-8").strip()
+        except OSError as error:
+            raise OnyxforkError(f"{token_file}: {error.strerror}") from None
+    return os.environ.get("ONYXFORK_TOKEN", "")
+
+
+async def send_statement(urls, token, text, command_id):
+    """Send a statement until an instance answers it.
+
+    Parameters
+    ----------
+    urls : list of str
+    token, text : str
+    command_id : str
+        Sent with every attempt, so that a change takes effect once.
+
+    Returns
+    -------
+    dict
+
+    Raises
+    ------
+    UnavailableError
+    """
+    headers = {"Authorization": f"Bearer {token}"}
+    body = {"text": text, "command": command_id}
+    reason = "no control instance was named"
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
+        for url in urls * ATTEMPTS:
+            try:
+                async with session.post(f"{url.rstrip('/')}/v1/ask", json=body) as response:
+                    answer = await response.json()
+            except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+                reason = f"{url}: {error or type(error).__name__}"
+                continue
+            if answer.get("code") not in ("unavailable", "unknown"):
+                return answer
+            reason = f"{url}: {answer.get('message')}"
+            await asyncio.sleep(0.2)
+    raise UnavailableError(reason)
+
+
+def show_answer(answer, as_json):
+    """Print an answer and return the exit status."""
+    ok = answer.get("ok", False)
+    if as_json:
+        print(json.dumps(answer, indent=2))
+        return 0 if ok else 1
+    message = answer.get("message") or answer.get("reason") or ""
+    if not ok:
+        detail = answer.get("detail") or {}
+        field = f" (field {detail['field']})" if detail.get("field") else ""
+        by = f", changed by {detail['changed_by']}" if detail.get("changed_by") else ""
+        print(f"{answer.get('code')}: {message}{field}{by}", file=sys.stderr)
+        return 1
+    rows = answer.get("rows") or []
+    version = (answer.get("detail") or {}).get("version")
+    if rows or not (message or version):
+        print(render_rows(rows))
+    if version:
+        print(f"accepted as version {version}")
+    if message:
+        print(message)
+    if answer.get("unanswered"):
+        print(f"not answered in time: {', '.join(answer['unanswered'])}", file=sys.stderr)
+    if answer.get("truncated"):
+        print("there are more rows than were collected", file=sys.stderr)
+    return 0
+
+
+def ask_once(urls, token, text, as_json=False, command_id=None):
+    """Send one statement, print the answer and return the exit status."""
+    command_id = command_id or new_id(int(time.time() * 1000))
+    answer = asyncio.run(send_statement(urls, token, text, command_id))
+    return show_answer(answer, as_json)
+
+
+def ask_prompt(urls, token):
+    """Read statements from a prompt until the end of input."""
+    from prompt_toolkit import PromptSession
+    from prompt_toolkit.history import FileHistory
+
+    prompt = PromptSession(history=FileHistory(str(Path.home() / HISTORY_FILE)))
+    while True:
+        try:
+            text = prompt.prompt("onyxfork> ").strip()
+        except (EOFError, KeyboardInterrupt):
+            return 0
+        if text:
+            try:
+                ask_once(urls, token, text)
+            except UnavailableError as error:
+                print(f"unavailable: {error}", file=sys.stderr)
--- /dev/null
+++ b/onyxfork/settings.py
@@ -0,0 +1,341 @@
+"""Settings of the daemons: JSON files, checked whole before anything starts.
+
+Every wrong, missing or unknown field is reported together, with its path and what was expected.
+"""
+
+import ipaddress
+import json
+import ssl
+from pathlib import Path
+from types import NoneType, UnionType
+from typing import get_args, get_origin
+
+import attrs
+import cattrs
+from attrs import define, field
+
+from onyxfork.errors import SettingsError
+
+__all__ = [
+    "Address",
+    "TlsSettings",
+    "EntrySettings",
+    "AgentSettings",
+    "ControlSettings",
+    "UpstreamSettings",
+    "ROLES",
+    "load_settings",
+    "parse_settings",
+]
+
+
+def checked(test, expected):
+    """Return an attrs validator that names what was expected."""
+
+    def validate(instance, attribute, value):
+        if not test(value):
+            raise ValueError(f"expected {expected}, got {value!r}")
+
+    return validate
+
+
+def is_ip(value):
+    """Return whether a text is an IP number."""
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        return False
+    return True
+
+
+def is_name(value):
+    """Return whether a text can name a process, zone or cluster."""
+    return 0 < len(value) <= 64 and value.isprintable() and not set(value) & set("/# ")
+
+
+IP = checked(is_ip, "an IP number")
+NAME = checked(is_name, "a name of 1 to 64 characters without slash, # or space")
+PORT = checked(lambda value: 0 <= value <= 65535, "a port from 0 to 65535")
+POSITIVE = checked(lambda value: value > 0, "a number above 0")
+NOT_NEGATIVE = checked(lambda value: value >= 0, "a number from 0 on")
+SOME = checked(lambda value: len(value) > 0, "at least one item")
+LEVEL = checked(
+    lambda value: value in ("debug", "info", "warning", "error"),
+    "one of debug, info, warning, error",
+)
+
+
+@define(frozen=True)
+class Address:
+    """An IP number and a port."""
+
+    host: str = field(validator=IP)
+    port: int = field(validator=PORT)
+
+    @property
+    def pair(self):
+        """The address as asyncio takes it."""
+        return (self.host, self.port)
+
+    def __str__(self):
+        return f"{self.host}:{self.port}"
+
+
+@define
+class TlsSettings:
+    """Files for TLS between processes; both sides show a certificate of the authority."""
+
+    certificate: str
+    key: str
+    authority: str
+
+    def contexts(self):
+        """Return the server's and the client's context.
+
+        Raises
+        ------
+        SettingsError
+            When a file can not be read or the key does not belong to the certificate.
+        """
+        try:
+            server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=self.authority)
+            server.verify_mode = ssl.CERT_REQUIRED
+            server.load_cert_chain(self.certificate, self.key)
+            client = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=self.authority)
+            client.check_hostname = False
+            client.load_cert_chain(self.certificate, self.key)
+        except (OSError, ssl.SSLError) as error:
+            raise SettingsError([f"$.tls: {error}"]) from None
+        return server, client
+
+
+@define
+class TimingSettings:
+    """Heartbeats and limits of silence, in seconds."""
+
+    heartbeat_s: float = field(default=0.5, validator=POSITIVE)
+    suspect_s: float = field(default=1.2, validator=POSITIVE)
+    silent_s: float = field(default=2.0, validator=POSITIVE)
+
+
+@define
+class CommonSettings:
+    """Fields that every daemon has."""
+
+    role: str
+    node: str = field(validator=NAME)
+    cluster: str = field(validator=NAME)
+    zone: str = field(validator=NAME)
+    listen: Address
+    http: Address
+    log_level: str = field(default="info", validator=LEVEL, kw_only=True)
+    timing: TimingSettings = field(factory=TimingSettings, kw_only=True)
+    tls: TlsSettings | None = field(default=None, kw_only=True)
+
+
+@define
+class EntrySettings(CommonSettings):
+    """Settings of an entry."""
+
+    control: list[Address] = field(validator=SOME)
+    policy: str = field(default="late-binding", kw_only=True)
+    seed: int = field(default=0, kw_only=True)
+    max_body_bytes: int = field(default=4 * 1024 * 1024, validator=POSITIVE, kw_only=True)
+    max_waiting_tasks: int = field(default=200_000, validator=POSITIVE, kw_only=True)
+    drain_s: float = field(default=30.0, validator=NOT_NEGATIVE, kw_only=True)
+    announce_wait_s: float = field(default=1.0, validator=NOT_NEGATIVE, kw_only=True)
+
+
+@define
+class AgentSettings(CommonSettings):
+    """Settings of an agent; `http` is where its upstream announces itself."""
+
+    control: list[Address] = field(validator=SOME)
+    rack: str = field(default="", kw_only=True)
+    max_slots: int = field(default=64, validator=POSITIVE, kw_only=True)
+    drain_s: float = field(default=30.0, validator=NOT_NEGATIVE, kw_only=True)
+
+
+@define
+class ControlSettings(CommonSettings):
+    """Settings of a control instance; `http` serves the administration API."""
+
+    data_folder: str
+    members: dict[str, Address] = field(validator=SOME)
+    cells: int = field(default=1, validator=POSITIVE, kw_only=True)
+    lease_s: float = field(default=2.0, validator=POSITIVE, kw_only=True)
+    snapshot_bytes: int = field(default=4 * 1024 * 1024, validator=POSITIVE, kw_only=True)
+    lost_after_s: float = field(default=15.0, validator=POSITIVE, kw_only=True)
+    initial_token: str = field(default="", kw_only=True, repr=False)
+
+
+@define
+class UpstreamSettings:
+    """Settings of the stand-in upstream."""
+
+    role: str
+    node: str = field(validator=NAME)
+    http: Address
+    agent: Address
+    slots: int = field(default=8, validator=POSITIVE, kw_only=True)
+    processors: float = field(default=32.0, validator=NOT_NEGATIVE, kw_only=True)
+    memory_mb: float = field(default=65536.0, validator=NOT_NEGATIVE, kw_only=True)
+    accelerators: float = field(default=0.0, validator=NOT_NEGATIVE, kw_only=True)
+    speed: float = field(default=1.0, validator=POSITIVE, kw_only=True)
+    fail_share: float = field(default=0.0, validator=NOT_NEGATIVE, kw_only=True)
+    seed: int = field(default=0, kw_only=True)
+    journal: str = field(default="", kw_only=True)
+    log_level: str = field(default="info", validator=LEVEL, kw_only=True)
+
+
+ROLES = {
+    "entry": EntrySettings,
+    "agent": AgentSettings,
+    "control": ControlSettings,
+    "upstream": UpstreamSettings,
+}
+
+converter = cattrs.Converter()
+KIND_NAMES = {str: "text", int: "a whole number", float: "a number", bool: "true or false"}
+
+
+def strict(kind):
+    """Return a structure hook that converts nothing but whole numbers to floats."""
+
+    def structure(value, _):
+        if kind is float and type(value) is int:
+            return float(value)
+        if type(value) is not kind:
+            raise TypeError(f"expected {KIND_NAMES[kind]}, got {type(value).__name__}")
+        return value
+
+    return structure
+
+
+for _kind in KIND_NAMES:
+    converter.register_structure_hook(_kind, strict(_kind))
+
+
+def build(kind, value, path, problems):
+    """Return `value` as `kind`, collecting every problem with its path.
+
+    Parameters
+    ----------
+    kind : type
+        A primitive, an attrs class, or a list or dict of one, or one of these or None.
+    value : object
+        From JSON.
+    path : str
+    problems : list of str
+        Is appended to; the returned value is usable only when nothing was.
+    """
+    if isinstance(kind, UnionType):
+        inner = next(arg for arg in get_args(kind) if arg is not NoneType)
+        return None if value is None else build(inner, value, path, problems)
+    if attrs.has(kind):
+        return build_object(kind, value, path, problems)
+    if get_origin(kind) is list and type(value) is list:
+        inner = get_args(kind)[0]
+        items = enumerate(value)
+        return [build(inner, item, f"{path}[{at}]", problems) for at, item in items]
+    if get_origin(kind) is dict and type(value) is dict:
+        inner = get_args(kind)[1]
+        return {name: build(inner, item, f"{path}.{name}", problems) for name, item in value.items()}
+    if get_origin(kind) in (list, dict):
+        wanted = "a list" if get_origin(kind) is list else "an object"
+        problems.append(f"{path}: expected {wanted}, got {type(value).__name__}")
+        return None
+    try:
+        return converter.structure(value, kind)
+    except TypeError as error:
+        problems.append(f"{path}: {error}")
+        return None
+
+
+def build_object(cls, value, path, problems):
+    """Return an instance of an attrs class, or None after noting what is wrong with it."""
+    if type(value) is not dict:
+        problems.append(f"{path}: expected an object, got {type(value).__name__}")
+        return None
+    fields = attrs.fields_dict(cls)
+    before = len(problems)
+    problems += [f"{path}.{name}: unknown field" for name in value if name not in fields]
+    values = {}
+    for name, attribute in fields.items():
+        if name in value:
+            values[name] = build_field(attribute, value[name], f"{path}.{name}", problems)
+        elif attribute.default is attrs.NOTHING:
+            problems.append(f"{path}.{name}: required field is missing")
+    return cls(**values) if len(problems) == before else None
+
+
+def build_field(attribute, value, path, problems):
+    """Return the value of one field after its type and its validator have passed."""
+    before = len(problems)
+    built = build(attribute.type, value, path, problems)
+    if attribute.validator is not None and len(problems) == before:
+        try:
+            attribute.validator(None, attribute, built)
+        except ValueError as error:
+            problems.append(f"{path}: {error}")
+    return built
+
+
+def parse_settings(text, role=None, name="settings"):
+    """Return the settings in a JSON text.
+
+    Parameters
+    ----------
+    text : str
+    role : str, optional
+        The role that is started; the file must be of it.
+    name : str
+        Of the file, for errors.
+
+    Returns
+    -------
+    EntrySettings, AgentSettings, ControlSettings or UpstreamSettings
+
+    Raises
+    ------
+    SettingsError
+        With every problem found.
+
+    Examples
+    --------
+    >>> parse_settings('{"role": "pilot"}')
+    Traceback (most recent call last):
+    ...
+    onyxfork.errors.SettingsError: settings: $.role: expected one of entry, agent, control, \
+upstream, got 'pilot'
+    """
+    try:
+        data = json.loads(text)
+    except (json.JSONDecodeError, RecursionError) as error:
+        raise SettingsError([f"{name}: not JSON: {error}"]) from None
+    if type(data) is not dict:
+        raise SettingsError([f"{name}: $: expected an object, got {type(data).__name__}"])
+    given = data.get("role")
+    if not isinstance(given, str) or given not in ROLES:
+        raise SettingsError([f"{name}: $.role: expected one of {', '.join(ROLES)}, got {given!r}"])
+    if role is not None and given != role:
+        raise SettingsError([f"{name}: $.role: expected {role!r}, got {given!r}"])
+    problems = []
+    settings = build(ROLES[given], data, "$", problems)
+    if problems:
+        raise SettingsError([f"{name}: {problem}" for problem in problems])
+    return settings
+
+
+def load_settings(path, role=None):
+    """Return the settings in a file.
+
+    Raises
+    ------
+    SettingsError
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{path}: {error}"]) from None
+    return parse_settings(text, role, str(path))
--- /dev/null
+++ b/onyxfork/systems/estimates.py
@@ -0,0 +1,47 @@
+"""Expected run times, learned from what tasks took.
+
+Declared run times are often far off, so the ratio of actual to declared time is learned for each
+job; without a declaration the job's mean is used.
+"""
+
+from onyxfork.entities.dispatch import RunTimes
+
+__all__ = ["expected_ms", "learn_run_time", "job_key"]
+
+LEARN_WEIGHT = 0.05
+MAX_RATIO = 100.0
+DEFAULT_MS = 300.0
+
+
+def job_key(request):
+    """Return the key under which run times of a request's job are learned."""
+    return (request.organisation, request.service, request.job)
+
+
+def expected_ms(state, request, index):
+    """Return the expected run time of one task in milliseconds."""
+    declared = request.run_ms[index]
+    learned = state.run_times.get(job_key(request))
+    if declared > 0:
+        return declared * (learned.ratio if learned else 1.0)
+    return learned.mean_ms if learned else DEFAULT_MS
+
+
+def learn_run_time(state, request, index, run_ms):
+    """Take one finished task into the estimates of its job.
+
+    Returns
+    -------
+    float
+        Actual over expected run time, as it was expected before.
+    """
+    expected = expected_ms(state, request, index)
+    learned = state.run_times.setdefault(job_key(request), RunTimes(mean_ms=run_ms))
+    learned.samples += 1
+    weight = max(LEARN_WEIGHT, 1 / learned.samples)
+    learned.mean_ms += weight * (run_ms - learned.mean_ms)
+    declared = request.run_ms[index]
+    if declared > 0:
+        ratio = min(run_ms / declared, MAX_RATIO)
+        learned.ratio += weight * (ratio - learned.ratio)
+    return run_ms / max(expected, 0.001)
--- /dev/null
+++ b/onyxfork/systems/lifetimes.py
@@ -0,0 +1,61 @@
+"""Deadlines, cancellations, and the end of what is kept."""
+
+from heapq import heappop
+
+from onyxfork.entities.outcomes import Code, State
+from onyxfork.systems.results import answer
+
+__all__ = ["expire_deadlines", "cancel", "drop_retained", "next_deadline"]
+
+
+def expire_deadlines(state, now):
+    """Answer every submission whose deadline has passed.
+
+    Returns
+    -------
+    int
+        How many were answered.
+    """
+    count = 0
+    while state.deadlines and state.deadlines[0][0] <= now:
+        _, name = heappop(state.deadlines)
+        submission = state.submissions.get(name)
+        if submission is None or submission.state is not State.RUNNING:
+            continue
+        reason = "the deadline passed"
+        answer(state, submission, State.NOT_RUN, Code.PAST_DEADLINE, reason, now)
+        count += 1
+    return count
+
+
+def next_deadline(state):
+    """Return when the next deadline passes, infinite when none is set."""
+    while state.deadlines:
+        at, name = state.deadlines[0]
+        submission = state.submissions.get(name)
+        if submission is not None and submission.state is State.RUNNING:
+            return at
+        heappop(state.deadlines)
+    return float("inf")
+
+
+def cancel(state, name, now):
+    """End a submission on request.
+
+    Returns
+    -------
+    Submission or None
+        None when the submission is not known here.
+    """
+    submission = state.submissions.get(name)
+    if submission is not None and submission.state is State.RUNNING:
+        reason = "cancelled by the caller"
+        answer(state, submission, State.NOT_RUN, Code.CANCELLED, reason, now)
+    return submission
+
+
+def drop_retained(state, now):
+    """Forget submissions answered longer ago than the retention."""
+    while state.retained and state.retained[0][0] <= now:
+        _, name = heappop(state.retained)
+        state.submissions.pop(name, None)
--- /dev/null
+++ b/onyxfork/systems/membership.py
@@ -0,0 +1,221 @@
+"""Workers of a cell: joining, leaving, being lost, and what a new owner finds on them."""
+
+from heapq import heappop, heappush
+
+from onyxfork.entities.outcomes import Code, Outcome, State
+from onyxfork.entities.workers import Worker
+from onyxfork.messages import TaskId, TaskResult
+from onyxfork.systems.placement import reindex
+from onyxfork.systems.queueing import add_waiting, queue_submission
+from onyxfork.systems.results import answer, apply_result, release_limits
+
+__all__ = [
+    "worker_led",
+    "worker_unreachable",
+    "worker_left",
+    "worker_lost",
+    "release_held",
+    "is_ambiguous",
+    "adopt",
+    "settle_takeover",
+]
+
+HOLD_LOST_S = 10.0
+KEY_SKEW_MS = 2000
+
+
+def worker_led(state, node, led, now):
+    """Take in a worker whose agent has accepted this owner.
+
+    Parameters
+    ----------
+    state : Dispatch
+    node : Node
+    led : Led
+    now : float
+
+    Returns
+    -------
+    Worker
+        Its outstanding tasks are to be fetched; the requests are in the outbox.
+    """
+    worker = state.workers.get(node.name)
+    if worker is not None and worker.incarnation != led.incarnation:
+        worker_lost(state, worker, "the agent restarted", now)
+        worker = None
+    if worker is None:
+        worker = Worker(
+            name=node.name,
+            zone=node.zone,
+            rack=node.rack,
+            slots=led.slots,
+            processors=node.processors,
+            memory_mb=node.memory_mb,
+            accelerators=node.accelerators,
+            incarnation=led.incarnation,
+        )
+        state.workers[node.name] = worker
+    state.index.remove(worker)
+    if worker.state in ("serving", "leaving", "lost"):
+        worker.state = "leaving" if led.leaving or not led.slots else "serving"
+        worker.slots = led.slots
+    reindex(state, worker)
+    note_known(state, worker, led)
+    fetch_outstanding(state, worker)
+    return worker
+
+
+def note_known(state, worker, led):
+    """Remember what a worker began for a former owner."""
+    state.takeover.unaccounted.discard(worker.name)
+    if state.takeover.at_wall_ms is None:
+        return
+    for known in led.known:
+        found = state.takeover.found.setdefault(known.submission, {})
+        for index in known.running + known.ended:
+            found[index] = worker.name
+
+
+def fetch_outstanding(state, worker):
+    """Ask a worker for everything that is believed outstanding on it."""
+    for (name, index), submission in worker.outstanding.items():
+        attempt = submission.attempts[index]
+        state.outbox.fetches[worker.name].append(TaskId(name, index, attempt))
+
+
+def worker_unreachable(state, worker, now):
+    """Place nothing on a worker whose connection is gone; its tasks stay outstanding."""
+    if worker.state in ("serving", "leaving", "probing"):
+        worker.state = "lost"
+    worker.lost_at = now
+    reindex(state, worker)
+
+
+def worker_left(state, worker):
+    """Place nothing more on a worker that leaves; what it has ends undisturbed."""
+    if worker.state != "lost":
+        worker.state = "leaving"
+    reindex(state, worker)
+
+
+def worker_lost(state, worker, reason, now):
+    """Give a worker up: what was outstanding on it may have run.
+
+    Limits stay taken for a while, because the tasks may still be running.
+    """
+    outstanding = dict(worker.outstanding)
+    state.index.remove(worker)
+    state.slow.pop(worker.name, None)
+    state.ejected.pop(worker.name, None)
+    state.workers.pop(worker.name, None)
+    for (name, index), submission in outstanding.items():
+        for limit in submission.lane.limits:
+            limit.running += 1
+        heappush(state.held, (now + HOLD_LOST_S, id(submission), submission.lane))
+        result = TaskResult(
+            submission=name,
+            index=index,
+            attempt=submission.attempts[index],
+            outcome=Outcome.LOST.value,
+            output=None,
+            reason=f"worker {worker.name}: {reason}; the task may have run",
+            run_ms=0.0,
+            queue_ms=0.0,
+        )
+        apply_result(state, worker, result, now)
+    state.index.remove(worker)
+    state.slow.pop(worker.name, None)
+    state.ejected.pop(worker.name, None)
+
+
+def release_held(state, now):
+    """Give limits back for tasks of lost workers that have certainly ended."""
+    while state.held and state.held[0][0] <= now:
+        _, _, lane = heappop(state.held)
+        release_limits(state, lane)
+
+
+def is_ambiguous(state, issued_ms):
+    """Return whether a submission may have begun under a former owner unseen.
+
+    Parameters
+    ----------
+    state : Dispatch
+    issued_ms : int
+        Time of issue in the submission's identifier.
+    """
+    takeover = state.takeover
+    if takeover.at_wall_ms is None or issued_ms > takeover.at_wall_ms + KEY_SKEW_MS:
+        return False
+    return bool(takeover.unaccounted or takeover.vanished)
+
+
+def adopt(state, submission, now):
+    """Take over the tasks of a submission that were begun for a former owner.
+
+    Parameters
+    ----------
+    state : Dispatch
+    submission : Submission
+        Admitted but not yet queued.
+    now : float
+
+    Returns
+    -------
+    int
+        Tasks found running or ended; their results are fetched.
+    """
+    found = state.takeover.found.pop(submission.name, {})
+    for index, name in found.items():
+        worker = state.workers.get(name)
+        if index >= len(submission.attempts):
+            continue
+        submission.waiting.remove(index)
+        submission.attempts[index] = 1
+        submission.sent[index] = name
+        if worker is None:
+            reason = f"worker {name} was lost; the task may have run"
+            submission.began += 1
+            answer(state, submission, State.FAILED, Code.MAY_HAVE_RUN, reason, now)
+            break
+        worker.take((submission.name, index), submission)
+        for limit in submission.lane.limits:
+            limit.take()
+        reindex(state, worker)
+        state.outbox.fetches[name].append(TaskId(submission.name, index, 1))
+    return len(found)
+
+
+def settle_takeover(state, now):
+    """Decide the submissions held back until every worker was accounted for.
+
+    Returns
+    -------
+    int
+        How many were decided.
+    """
+    if state.takeover.unaccounted or not state.takeover.held:
+        return 0
+    held, state.takeover.held = state.takeover.held, []
+    for name in held:
+        submission = state.submissions.get(name)
+        if submission is None or submission.state is not State.RUNNING:
+            continue
+        adopt(state, submission, now)
+        if submission.state is not State.RUNNING:
+            continue
+        if state.takeover.vanished and submission.waiting:
+            fail_ambiguous(state, submission, now)
+            continue
+        add_waiting(state, submission)
+        queue_submission(state, submission)
+    return len(held)
+
+
+def fail_ambiguous(state, submission, now):
+    """Fail a submission whose tasks may have begun on a worker that is gone."""
+    names = ", ".join(sorted(state.takeover.vanished))
+    reason = f"tasks may have begun on {names} before the entry was replaced"
+    submission.began += 1
+    submission.waiting = []
+    answer(state, submission, State.FAILED, Code.MAY_HAVE_RUN, reason, now)
--- /dev/null
+++ b/onyxfork/systems/placement.py
@@ -0,0 +1,182 @@
+"""Placement: waiting tasks to workers, in order, within limits.
+
+The cost of a tick follows the tasks placed and the lanes that changed, not the lanes or workers
+that exist: ready lanes lie in a heap, a lane held up by a limit is parked on that limit, and the
+loop ends when no worker has a free slot.
+"""
+
+from heapq import heappop, heapreplace
+
+from onyxfork.messages import TaskStart
+from onyxfork.systems.queueing import count_out, make_ready, unpark
+
+__all__ = ["place", "send", "reindex", "wait_reason"]
+
+
+def place(state, now):
+    """Send as many waiting tasks as workers and limits allow.
+
+    Parameters
+    ----------
+    state : Dispatch
+        Starts are collected in its outbox.
+    now : float
+
+    Returns
+    -------
+    int
+        Tasks placed.
+    """
+    release_parked(state, now)
+    placed = 0
+    full_shapes = set()
+    skipped = []
+    while state.ready:
+        lane, submission = next_ready(state)
+        if lane is None:
+            break
+        limit = first_blocking(lane, now)
+        if limit is not None:
+            park(state, lane, submission, limit)
+        elif lane.shape in full_shapes:
+            skip(state, lane, skipped)
+        elif place_one(state, submission, now):
+            placed += 1
+        elif not has_any_room(state):
+            break
+        else:
+            full_shapes.add(lane.shape)
+    for lane in skipped:
+        make_ready(state, lane)
+    return placed
+
+
+def next_ready(state):
+    """Return the ready lane with the lowest order and its head, correcting the heap."""
+    while state.ready:
+        order, _, lane = state.ready[0]
+        if lane.ready_order != order or lane.parked_on is not None:
+            heappop(state.ready)
+            continue
+        head = lane.head()
+        if head is None:
+            lane.ready_order = None
+            heappop(state.ready)
+        elif head.order != order:
+            lane.ready_order = head.order
+            state.ready_sequence += 1
+            heapreplace(state.ready, (head.order, state.ready_sequence, lane))
+        else:
+            return lane, head
+    return None, None
+
+
+def skip(state, lane, skipped):
+    """Leave a lane aside for the rest of this tick."""
+    heappop(state.ready)
+    lane.ready_order = None
+    skipped.append(lane)
+
+
+def first_blocking(lane, now):
+    """Return the first limit that allows no further start, or None."""
+    for limit in lane.limits:
+        if not limit.allows(now):
+            return limit
+    return None
+
+
+def park(state, lane, submission, limit):
+    """Take a lane out of the heap until `limit` allows a start."""
+    heappop(state.ready)
+    lane.ready_order = None
+    lane.parked_on = limit
+    limit.parked.append(lane)
+    state.parked_limits[limit.name] = limit
+    submission.waits_because = f"{limit.name} is fully used"
+
+
+def release_parked(state, now):
+    """Make lanes ready whose limit allows a start again, and note when the next one will."""
+    wake_at = float("inf")
+    for limit in list(state.parked_limits.values()):
+        if limit.allows(now):
+            unpark(state, limit)
+        else:
+            wake_at = min(wake_at, now + limit.ready_in())
+    state.wake_at = wake_at
+
+
+def has_any_room(state):
+    """Return whether any worker could still take a task of some shape."""
+    return state.index.has_room(1) or any(worker.free > 0 for worker in state.slow.values())
+
+
+
+
+def place_one(state, submission, now):
+    """Send the next task of a submission; return whether a worker was found."""
+    index = submission.waiting[-1]
+    worker = state.policy.choose(state, submission, index)
+    if worker is None:
+        submission.waits_because = "no free slot fits"
+        return False
+    if submission.excluded.get(index) == worker.name and len(state.workers) > 1:
+        worker = other_worker(state, submission, worker) or worker
+    submission.waiting.pop()
+    count_out(state, submission, index)
+    send(state, submission, index, worker, now)
+    return True
+
+
+def other_worker(state, submission, refused_by):
+    """Return a free worker other than the one that has just refused the task."""
+    for buckets in state.index.classes.values():
+        for free in sorted(buckets, reverse=True):
+            if free < 1:
+                break
+            for worker in buckets[free].values():
+                if worker is not refused_by and worker.fits_now(submission.lane.shape):
+                    return worker
+    return None
+
+
+def send(state, submission, index, worker, now):
+    """Count a task as outstanding at a worker and put its start into the outbox."""
+    request = submission.request
+    submission.attempts[index] += 1
+    submission.sent[index] = worker.name
+    submission.placed_because = f"{worker.free} free slots, {state.policy.name}"
+    worker.take((submission.name, index), submission)
+    reindex(state, worker)
+    for limit in submission.lane.limits:
+        limit.take()
+    start = TaskStart(
+        submission=request.submission,
+        index=index,
+        job=request.job,
+        organisation=request.organisation,
+        run_ms=submission.expected[index],
+        order=submission.order,
+        attempt=submission.attempts[index],
+        input=request.inputs[index],
+    )
+    state.outbox.starts[worker.name].append(start)
+
+
+def reindex(state, worker):
+    """Move a worker to where it belongs: the index, the slow ones, or neither."""
+    if worker.state not in ("serving", "probing"):
+        state.index.remove(worker)
+        state.slow.pop(worker.name, None)
+    elif worker.speed > state.tuning.slow_speed and worker.samples >= 5:
+        state.index.remove(worker)
+        state.slow[worker.name] = worker
+    else:
+        state.slow.pop(worker.name, None)
+        state.index.add(worker)
+
+
+def wait_reason(submission):
+    """Return in words why a submission's tasks wait, empty when none does."""
+    return submission.waits_because if submission.waiting else ""
--- /dev/null
+++ b/onyxfork/systems/queueing.py
@@ -0,0 +1,80 @@
+"""Waiting work: lanes, the heap of ready lanes, and sums over what waits."""
+
+from heapq import heappush
+
+from onyxfork.entities.submissions import Lane
+from onyxfork.entities.workers import Shape
+from onyxfork.systems.limits import limits_of
+
+__all__ = ["lane_for", "queue_submission", "make_ready", "add_waiting", "count_in", "count_out", "unpark"]
+
+
+def lane_for(state, request, job):
+    """Return the lane of a request, made when it is the first of its kind."""
+    shape = Shape(
+        max(request.shape.processors, job.processors),
+        max(request.shape.memory_mb, job.memory_mb),
+        max(request.shape.accelerators, job.accelerators),
+    )
+    key = (request.organisation, request.service, request.job, request.team, shape)
+    lane = state.lanes.get(key)
+    if lane is None:
+        lane = Lane(key, job.urgency, shape, limits_of(state, request))
+        state.lanes[key] = lane
+    lane.urgency = job.urgency
+    return lane
+
+
+def queue_submission(state, submission):
+    """Let the waiting tasks of a submission be placed."""
+    lane = submission.lane
+    lane.push(submission)
+    if lane.parked_on is None:
+        make_ready(state, lane)
+
+
+def make_ready(state, lane):
+    """Put a lane into the heap of ready lanes at the order of its head."""
+    head = lane.head()
+    if head is None or (lane.ready_order is not None and lane.ready_order <= head.order):
+        return
+    lane.ready_order = head.order
+    state.ready_sequence += 1
+    heappush(state.ready, (head.order, state.ready_sequence, lane))
+
+
+def unpark(state, limit):
+    """Make the lanes ready that were held up by `limit`."""
+    parked, limit.parked = limit.parked, []
+    state.parked_limits.pop(limit.name, None)
+    for lane in parked:
+        lane.parked_on = None
+        make_ready(state, lane)
+
+
+def add_waiting(state, submission):
+    """Count all waiting tasks of a submission."""
+    for index in submission.waiting:
+        count_in(state, submission, index)
+
+
+def count_in(state, submission, index):
+    """Count one task as waiting."""
+    count_one(state, submission, index, 1)
+
+
+def count_out(state, submission, index):
+    """Count one task as no longer waiting."""
+    count_one(state, submission, index, -1)
+
+
+def count_one(state, submission, index, sign):
+    """Add or remove one task from every sum."""
+    lane = submission.lane
+    work_ms = sign * submission.expected[index]
+    lane.waiting_tasks += sign
+    state.waiting_tasks += sign
+    state.waiting_ms[lane.urgency] = max(0.0, state.waiting_ms[lane.urgency] + work_ms)
+    for limit in lane.limits:
+        limit.waiting += sign
+        limit.waiting_ms = max(0.0, limit.waiting_ms + work_ms)
--- /dev/null
+++ b/onyxfork/systems/results.py
@@ -0,0 +1,190 @@
+"""Results: ended tasks to answers.
+
+An answer is given once and is whole: complete with every output, or failed with a reason for each
+task. The first task that fails decides the answer, so it is given at once; waiting tasks of the
+submission are dropped and running ones stopped, because nobody waits for them.
+"""
+
+from heapq import heappush
+
+from onyxfork.entities.outcomes import Code, Outcome, State
+from onyxfork.entities.submissions import Answered
+from onyxfork.messages import TaskId
+from onyxfork.systems.ejection import judge
+from onyxfork.systems.estimates import learn_run_time
+from onyxfork.systems.placement import reindex
+from onyxfork.systems.queueing import count_in, count_out, queue_submission, unpark
+
+__all__ = ["apply_result", "answer", "drop_waiting", "give_up_task", "release_limits"]
+
+NOT_RUN_REASON = "not run"
+
+
+def apply_result(state, worker, result, now):
+    """Take the end of one task in.
+
+    Parameters
+    ----------
+    state : Dispatch
+    worker : Worker
+        The worker whose agent reports it.
+    result : TaskResult
+    now : float
+
+    Returns
+    -------
+    bool
+        False when the result was not expected: a late word about an earlier attempt.
+    """
+    key = (result.submission, result.index)
+    submission = worker.outstanding.get(key)
+    if submission is None or result.attempt < submission.attempts[result.index]:
+        return False
+    worker.release(key)
+    release_limits(state, submission.lane)
+    if result.outcome == Outcome.NOT_RUN:
+        reindex(state, worker)
+        take_back(state, submission, result, worker, now)
+        return True
+    learn(state, worker, submission, result)
+    judge(state, worker, now)
+    reindex(state, worker)
+    settle(state, submission, result, now)
+    return True
+
+
+def learn(state, worker, submission, result):
+    """Take run times and failures into the estimates."""
+    if result.outcome == Outcome.STOPPED:
+        return
+    ratio = 1.0
+    if result.outcome == Outcome.DONE:
+        ratio = learn_run_time(state, submission.request, result.index, result.run_ms)
+    worker.learn(result.outcome, ratio)
+    response_ms = result.run_ms + result.queue_ms
+    if result.outcome != Outcome.DONE:
+        response_ms = float("inf")
+    state.policy.learn(state, worker, response_ms, submission.expected[result.index])
+
+
+def settle(state, submission, result, now):
+    """Record the end of a task that ran and answer when it decides the submission."""
+    if submission.sent.pop(result.index, None) is None:
+        return
+    if submission.state is not State.RUNNING:
+        return
+    submission.began += 1
+    if result.outcome == Outcome.DONE:
+        submission.outputs[result.index] = result.output
+        submission.done += 1
+        if submission.done == len(submission.attempts):
+            answer(state, submission, State.COMPLETE, Code.COMPLETE, None, now)
+        return
+    submission.reasons[result.index] = f"{result.outcome}: {result.reason}"
+    reason = f"task {result.index} {result.outcome}: {result.reason}"
+    code = Code.MAY_HAVE_RUN if result.outcome == Outcome.LOST else Code.FAILED
+    answer(state, submission, State.FAILED, code, reason, now)
+
+
+def take_back(state, submission, result, worker, now):
+    """Put a task that was definitely not run back into the queue, within its budget."""
+    if submission.sent.pop(result.index, None) is None:
+        return
+    if submission.state is not State.RUNNING:
+        return
+    job = state.catalogue.find(
+        "job", submission.request.organisation, submission.request.service, submission.request.job
+    )
+    budget = job.max_replacements if job is not None else 0
+    if submission.attempts[result.index] > budget:
+        reason = f"task {result.index} was refused {budget + 1} times, last: {result.reason}"
+        give_up_task(state, submission, result.index, Code.UNAVAILABLE, reason, now)
+        return
+    submission.excluded[result.index] = worker.name
+    submission.waiting.append(result.index)
+    count_in(state, submission, result.index)
+    queue_submission(state, submission)
+
+
+def give_up_task(state, submission, index, code, reason, now):
+    """Answer a submission one of whose tasks can not be run."""
+    submission.reasons[index] = f"not run: {reason}"
+    final = State.FAILED if submission.began or submission.sent else State.NOT_RUN
+    answer(state, submission, final, code, reason, now)
+
+
+def answer(state, submission, final, code, reason, now, retry_after_ms=None):
+    """Give the final answer and free whatever the submission still holds.
+
+    Parameters
+    ----------
+    state : Dispatch
+    submission : Submission
+    final : State
+    code : Code
+    reason : str or None
+    now : float
+    retry_after_ms : int, optional
+
+    Notes
+    -----
+    A submission with tasks outstanding is never answered as not run: one of them may start.
+    """
+    if final is State.NOT_RUN and (submission.began or submission.sent):
+        final = State.FAILED
+    drop_waiting(state, submission)
+    submission.state = final
+    complete = final is State.COMPLETE
+    submission.answer = Answered(
+        submission=submission.name,
+        state=final,
+        code=code,
+        reason=reason,
+        retry_after_ms=retry_after_ms,
+        outputs=submission.outputs if complete else [],
+        reasons=[] if complete else task_reasons(submission),
+        response_ms=(now - submission.arrived) * 1000,
+    )
+    submission.answered_at = now
+    submission.outputs = []
+    heappush(state.retained, (now + state.tuning.answer_retention_s, submission.name))
+    stop_outstanding(state, submission)
+    state.outbox.answered.append(submission)
+
+
+def task_reasons(submission):
+    """Return what became of each task of a failed submission."""
+    reasons = []
+    for index, reason in enumerate(submission.reasons):
+        if reason is not None:
+            reasons.append(reason)
+        elif index in submission.sent:
+            reasons.append("stopped: the submission had failed")
+        elif submission.attempts[index] and index not in submission.waiting:
+            reasons.append("done, but the submission failed")
+        else:
+            reasons.append(NOT_RUN_REASON)
+    return reasons
+
+
+def drop_waiting(state, submission):
+    """Forget the waiting tasks of a submission."""
+    for index in submission.waiting:
+        count_out(state, submission, index)
+        submission.reasons[index] = submission.reasons[index] or NOT_RUN_REASON
+    submission.waiting = []
+
+
+def stop_outstanding(state, submission):
+    """Ask agents to drop or stop what nobody waits for any more."""
+    for index, name in submission.sent.items():
+        item = TaskId(submission.name, index, submission.attempts[index])
+        state.outbox.stops[name].append(item)
+
+
+def release_limits(state, lane):
+    """Give back one running task of every limit of a lane."""
+    for limit in lane.limits:
+        limit.give_back()
+        if limit.parked:
+            unpark(state, limit)
--- /dev/null
+++ b/onyxfork/systems/tick.py
@@ -0,0 +1,42 @@
+"""One tick of the owner: every system in turn over the tables."""
+
+from onyxfork.systems.ejection import return_ejected
+from onyxfork.systems.lifetimes import drop_retained, expire_deadlines, next_deadline
+from onyxfork.systems.membership import release_held, settle_takeover
+from onyxfork.systems.placement import place
+
+__all__ = ["tick", "next_wake"]
+
+
+def tick(state, now, may_place):
+    """Run every system once.
+
+    Parameters
+    ----------
+    state : Dispatch
+    now : float
+    may_place : bool
+        Whether this process holds the lease on the cell.
+
+    Returns
+    -------
+    Outbox
+        What has to be sent and answered.
+    """
+    expire_deadlines(state, now)
+    drop_retained(state, now)
+    release_held(state, now)
+    return_ejected(state, now)
+    settle_takeover(state, now)
+    if may_place:
+        place(state, now)
+    return state.take_outbox()
+
+
+def next_wake(state, now):
+    """Return when the next tick is due although no message arrives, in monotonic seconds."""
+    times = [next_deadline(state), state.wake_at]
+    times += [worker.ejected_until for worker in state.ejected.values()]
+    if state.held:
+        times.append(state.held[0][0])
+    return max(now, min(times))
--- /dev/null
+++ b/onyxfork/upstreams/client.py
@@ -0,0 +1,130 @@
+"""What an agent asks of its upstream, and how it asks over HTTP.
+
+A task is sent once. Only a connection that could not be made proves that it never arrived; every
+other loss of the answer leaves open whether it ran.
+"""
+
+from abc import ABC, abstractmethod
+from typing import Any
+
+import aiohttp
+from attrs import define
+
+from onyxfork.entities.outcomes import Outcome
+
+__all__ = ["UpstreamClient", "HttpUpstreamClient", "TaskOutcome", "Capacity"]
+
+MAX_OUTPUT_BYTES = 4 * 1024 * 1024
+
+
+@define(frozen=True)
+class TaskOutcome:
+    """How a task ended at the upstream."""
+
+    outcome: Outcome
+    output: Any = None
+    reason: str | None = None
+
+
+@define(frozen=True)
+class Capacity:
+    """What an upstream announces of itself."""
+
+    slots: int
+    processors: float = 0.0
+    memory_mb: float = 0.0
+    accelerators: float = 0.0
+
+
+class UpstreamClient(ABC):
+    """Speaks to one upstream."""
+
+    @abstractmethod
+    async def run(self, task):
+        """Run a task.
+
+        Parameters
+        ----------
+        task : AgentTask
+
+        Returns
+        -------
+        TaskOutcome
+        """
+
+    @abstractmethod
+    async def stop(self, submission, index):
+        """Ask the upstream to stop a task; return whether it was told."""
+
+    @abstractmethod
+    async def checkpoint(self, submission, index):
+        """Ask the upstream to save a task's progress; return whether it was told."""
+
+    @abstractmethod
+    async def throttle(self, submission, index, share):
+        """Ask the upstream to give a task a share of its processors; return whether it was told."""
+
+
+class HttpUpstreamClient(UpstreamClient):
+    """Speaks HTTP with JSON to an upstream.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+    base_url : str
+        ``http://ip:port``.
+    """
+
+    def __init__(self, session, base_url):
+        self.session = session
+        self.base_url = base_url
+
+    async def run(self, task):
+        start = task.start
+        body = {
+            "submission": start.submission,
+            "index": start.index,
+            "attempt": start.attempt,
+            "job": start.job,
+            "organisation": start.organisation,
+            "run_ms": start.run_ms,
+            "input": start.input,
+        }
+        try:
+            async with self.session.post(f"{self.base_url}/v1/tasks", json=body) as response:
+                return await read_outcome(response)
+        except aiohttp.ClientConnectorError:
+            return TaskOutcome(Outcome.NOT_RUN, reason="the upstream accepts no connection")
+        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+            reason = f"no answer from the upstream: {type(error).__name__}"
+            return TaskOutcome(Outcome.LOST, reason=f"{reason}; the task may have run")
+
+    async def stop(self, submission, index):
+        return await self.tell(submission, index, "stop", {})
+
+    async def checkpoint(self, submission, index):
+        return await self.tell(submission, index, "checkpoint", {})
+
+    async def throttle(self, submission, index, share):
+        return await self.tell(submission, index, "throttle", {"share": share})
+
+    async def tell(self, submission, index, action, body):
+        """Send one request about a running task."""
+        url = f"{self.base_url}/v1/tasks/{submission}/{index}/{action}"
+        try:
+            async with self.session.post(url, json=body) as response:
+                return response.status == 200
+        except (TimeoutError, aiohttp.ClientError):
+            return False
+
+
+async def read_outcome(response):
+    """Return the outcome in an upstream's answer."""
+    body = await response.json()
+    if response.status == 200:
+        return TaskOutcome(Outcome.DONE, body.get("output"))
+    if response.status == 410:
+        return TaskOutcome(Outcome.STOPPED, reason=body.get("error", "stopped"))
+    if response.status == 503 and body.get("not_run") is True:
+        return TaskOutcome(Outcome.NOT_RUN, reason=body.get("error", "refused by the upstream"))
+    return TaskOutcome(Outcome.FAILED, reason=str(body.get("error", response.status)))
--- /dev/null
+++ b/onyxfork/utils/clock.py
@@ -0,0 +1,65 @@
+"""Sources of time.
+
+Decision code never reads a clock of its own: it is given the time, or one of these objects, so that
+the same code runs in a daemon and in a test.
+"""
+
+import time
+from abc import ABC, abstractmethod
+
+__all__ = ["Clock", "SystemClock", "FakeClock"]
+
+
+class Clock(ABC):
+    """Monotonic and wall-clock time."""
+
+    @abstractmethod
+    def now(self):
+        """Return seconds of a clock that never steps (float)."""
+
+    @abstractmethod
+    def wall_ms(self):
+        """Return milliseconds since the Unix epoch (int)."""
+
+
+class SystemClock(Clock):
+    """The clocks of the operating system."""
+
+    def now(self):
+        return time.monotonic()
+
+    def wall_ms(self):
+        return int(time.time() * 1000)
+
+
+class FakeClock(Clock):
+    """A clock that moves only when told to.
+
+    Parameters
+    ----------
+    start : float
+        First value of `now`, in seconds.
+    wall_start_ms : int
+        Wall-clock time at `start`, in milliseconds.
+
+    Examples
+    --------
+    >>> clock = FakeClock()
+    >>> clock.advance(1.5)
+    >>> clock.now()
+    1.5
+    """
+
+    def __init__(self, start=0.0, wall_start_ms=1_700_000_000_000):
+        self.time = start
+        self.wall_offset_ms = wall_start_ms - int(start * 1000)
+
+    def now(self):
+        return self.time
+
+    def wall_ms(self):
+        return self.wall_offset_ms + int(self.time * 1000)
+
+    def advance(self, seconds):
+        """Move the clock forward by `seconds`."""
+        self.time += seconds
--- /dev/null
+++ b/onyxfork/utils/tasks.py
@@ -0,0 +1,39 @@
+"""Ownership of asyncio tasks by a context manager."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+__all__ = ["owned_tasks"]
+
+
+@asynccontextmanager
+async def owned_tasks():
+    """Yield a function that starts tasks which are cancelled and awaited on leaving.
+
+    Yields
+    ------
+    callable
+        ``spawn(coroutine)`` returns the asyncio task. Finished tasks are forgotten at once; the
+        exception of a failed one goes to the event loop's handler.
+    """
+    tasks = set()
+
+    def finished(task):
+        tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            context = {"message": "background task failed", "exception": task.exception()}
+            task.get_loop().call_exception_handler(context)
+
+    def spawn(coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        tasks.add(task)
+        task.add_done_callback(finished)
+        return task
+
+    try:
+        yield spawn
+    finally:
+        pending = list(tasks)
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
--- /dev/null
+++ b/onyxfork/workload/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in deployments, load, experiments and reports."""
