--- a/onyxfork/control/admin.py
+++ b/onyxfork/control/admin.py
@@ -288,9 +288,7 @@
         wall_ms = self.replica.clock.wall_ms()
         identifier = command_id or new_id(wall_ms)
         return Ok(
-            Change(
-                identifier, caller.name, wall_ms, table, key, action, fields, command.expected
-            )
+            Change(identifier, caller.name, wall_ms, table, key, action, fields, command.expected)
         )
 
     def dry_run(self, change):
@@ -332,9 +330,7 @@
         for answer in answers:
             if answer is not None and answer.code != "unknown-job":
                 return Reply(True, message=f"{answer.state}: {answer.code}")
-        silent = [
-            node.name for node, answer in zip(nodes, answers, strict=True) if answer is None
-        ]
+        silent = [node.name for node, answer in zip(nodes, answers, strict=True) if answer is None]
         reason = f"no entry knows submission {command.key}"
         return Reply(False, "missing", reason, unanswered=silent)
 
--- a/onyxfork/control/raft.py
+++ b/onyxfork/control/raft.py
@@ -235,9 +235,7 @@
             self.set_term(self.term + 1, self.me)
             term = self.term
         self.votes = {self.me}
-        request = VoteRequest(
-            term, self.me, self.log.last_index, self.log.last_term, pre, forced
-        )
+        request = VoteRequest(term, self.me, self.log.last_index, self.log.last_term, pre, forced)
         for name in self.members.voters:
             if name != self.me:
                 self.send_durable(name, request)
@@ -662,14 +660,14 @@
 
     def receive(self, message, now):
         """Handle one message of another replica."""
-        HANDLERS[type(message)](self, message, now)
+        getattr(self, HANDLERS[type(message)])(message, now)
 
 
 HANDLERS = {
-    VoteRequest: Raft.on_vote_request,
-    VoteReply: Raft.on_vote_reply,
-    Append: Raft.on_append,
-    AppendReply: Raft.on_append_reply,
-    InstallSnapshot: Raft.on_snapshot,
-    TimeoutNow: Raft.on_timeout_now,
+    VoteRequest: "on_vote_request",
+    VoteReply: "on_vote_reply",
+    Append: "on_append",
+    AppendReply: "on_append_reply",
+    InstallSnapshot: "on_snapshot",
+    TimeoutNow: "on_timeout_now",
 }
--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -539,5 +539,3 @@
                 driver.cancel()
                 await asyncio.gather(driver, return_exceptions=True)
                 replica.executor.shutdown(wait=True)
-
-
--- a/onyxfork/daemons/control.py
+++ b/onyxfork/daemons/control.py
@@ -122,9 +122,7 @@
         The task ends with an exception when the instance can not go on.
     """
     identity, members = initial_identity(settings, bootstrap)
-    opened = open_storage(
-        settings.data_folder, settings.cluster, settings.node, identity, members
-    )
+    opened = open_storage(settings.data_folder, settings.cluster, settings.node, identity, members)
     with opened as storage:
         if storage.recovered.cut_bytes:
             log.warning("torn tail cut", extra={"bytes": storage.recovered.cut_bytes})
--- a/onyxfork/daemons/entry.py
+++ b/onyxfork/daemons/entry.py
@@ -264,9 +264,7 @@
         others = [
             node
             for node in self.control.catalogue.rows("node")
-            if node.role == "entry"
-            and node.state == "serving"
-            and node.name != self.settings.node
+            if node.role == "entry" and node.state == "serving" and node.name != self.settings.node
         ]
         if not others or not self.owners:
             return
--- a/onyxfork/daemons/http_server.py
+++ b/onyxfork/daemons/http_server.py
@@ -43,9 +43,9 @@
     app.router.add_get("/health", serve_health)
 
 
-def error_response(status, code, reason, field="", retry_after_ms=None):
+def error_response(status, code, reason, field="", retry_after_ms=None, state="not_run"):
     """Return a JSON error that names the field or position that is wrong."""
-    body = {"state": "not_run", "code": code, "reason": reason}
+    body = {"state": state, "code": code, "reason": reason}
     if field:
         body["field"] = field
     headers = {}
--- a/onyxfork/daemons/run.py
+++ b/onyxfork/daemons/run.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import signal
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 
 from onyxfork.daemons.agent import Agent, run_agent
 from onyxfork.daemons.control import run_control
@@ -57,18 +57,24 @@
             driver.result()
 
 
+@contextmanager
+def open_journal(path):
+    """Yield a journal file opened for appending, or None without a path."""
+    if not path:
+        yield None
+        return
+    with open(path, "a", encoding="utf-8") as journal:
+        yield journal
+
+
 async def serve_upstream(settings, stop):
     """Run a stand-in upstream until `stop` is set; what runs ends first."""
-    journal = open(settings.journal, "a", encoding="utf-8") if settings.journal else None
-    try:
+    with open_journal(settings.journal) as journal:
         upstream = StandInUpstream.from_config(settings, journal)
         async with run_upstream(upstream) as session:
             log.info("started", extra={"http_port": upstream.port})
             await stop.wait()
             await upstream.leave(session)
-    finally:
-        if journal is not None:
-            journal.close()
 
 
 SERVERS = {
--- a/onyxfork/entities/submissions.py
+++ b/onyxfork/entities/submissions.py
@@ -73,6 +73,8 @@
         Run time of each task in milliseconds, as estimated on arrival.
     began : int
         Tasks that may have started; nothing of the submission is "not run" once it is not 0.
+    may_have_begun : bool
+        Whether tasks may have started under a former owner, which is not known yet.
     """
 
     request: Request
@@ -88,6 +90,7 @@
     reasons: list[str | None] = field(factory=list)
     done: int = 0
     began: int = 0
+    may_have_begun: bool = False
     answer: Answered | None = None
     answered_at: float = 0.0
     excluded: dict[int, str] = field(factory=dict)
--- a/onyxfork/entry/http_api.py
+++ b/onyxfork/entry/http_api.py
@@ -77,7 +77,9 @@
         checked = read_request(body, time.time() * 1000)
         if checked.is_err():
             field, refusal = checked.err_value
-            return error_response(STATUS[refusal.code], refusal.code, refusal.reason, field)
+            state = State.FAILED if refusal.code is Code.EXPIRED_KEY else State.NOT_RUN
+            status = STATUS[refusal.code]
+            return error_response(status, refusal.code, refusal.reason, field, state=state)
         return answer_response(await entry.front.submit(checked.ok_value))
 
     async def about(request, action):
--- a/onyxfork/entry/links.py
+++ b/onyxfork/entry/links.py
@@ -96,6 +96,9 @@
         if node is None:
             connection.close("the worker is no longer known")
             return
+        if node.incarnation != message.incarnation:
+            connection.close("its announcement has not arrived yet")
+            return
         self.led = message.accepted
         self.owner.on_led(self, node, message)
 
--- a/onyxfork/entry/owner.py
+++ b/onyxfork/entry/owner.py
@@ -11,12 +11,10 @@
 from onyxfork.entry.links import AgentLink
 from onyxfork.entry.reports import REPORTS
 from onyxfork.messages import Fetch, Results, Revoke, Start, Stop
-from onyxfork.systems.admission import admit, find_known, release_claimed
+from onyxfork.systems.intake import let_in, take_in
 from onyxfork.systems.lifetimes import cancel
 from onyxfork.systems.limits import refresh_limits
 from onyxfork.systems.membership import (
-    adopt,
-    is_ambiguous,
     worker_led,
     worker_left,
     worker_lost,
@@ -26,7 +24,6 @@
 from onyxfork.systems.queueing import unpark
 from onyxfork.systems.results import apply_result
 from onyxfork.systems.tick import next_wake, tick
-from onyxfork.utils.ids import id_time_ms
 
 __all__ = ["CellOwner"]
 
@@ -138,10 +135,6 @@
             log.warning("deposed", extra={"cell": self.cell, "known_epoch": led.epoch})
             self.deposed = True
             return
-        takeover = self.state.takeover
-        if takeover.at_wall_ms is not None and node.since_ms > takeover.at_wall_ms - 1000:
-            if link.name in takeover.unaccounted and node.since_ms <= self.clock.wall_ms():
-                takeover.vanished.add(f"{link.name} before its restart")
         worker_led(self.state, node, led, self.clock.now())
         self.wake()
 
@@ -188,17 +181,18 @@
             return moved(request.submission, State.NOT_RUN)
         if not self.state.workers and self.clock.now() < self.ready_at:
             return moved(request.submission, State.NOT_RUN)
-        known = find_known(self.state, request)
-        if known.is_err():
-            return refused(request.submission, known.err_value)
-        submission = known.ok_value
-        if submission is None:
-            accepted = await self.accept(request)
-            if isinstance(accepted, Answered):
-                return accepted
-            submission = accepted
+        taken = take_in(self.state, request, self.clock.now())
+        if taken.is_err():
+            return refused(request.submission, taken.err_value)
+        intake = taken.ok_value
+        if intake.needs_claim:
+            answered = await self.claim(intake.submission)
+            if answered is not None:
+                return answered
+        if intake.is_new:
+            let_in(self.state, intake.submission, self.clock.now())
         self.wake()
-        return await self.answer_of(submission, wait)
+        return await self.answer_of(intake.submission, wait)
 
     async def answer_of(self, submission, wait):
         """Return the final answer of a known submission, or word that it runs."""
@@ -210,30 +204,6 @@
         self.waiters.setdefault(submission.name, []).append(future)
         return await future
 
-    async def accept(self, request):
-        """Admit a new submission and claim it when it must run at most once."""
-        job = self.state.catalogue.find("job", request.organisation, request.service, request.job)
-        claimed = job is not None and not job.idempotent
-        ambiguous = is_ambiguous(self.state, id_time_ms(request.submission))
-        now = self.clock.now()
-        found = request.submission in self.state.takeover.found
-        admitted = admit(self.state, request, now, hold=claimed or ambiguous or found)
-        if admitted.is_err():
-            return refused(request.submission, admitted.err_value)
-        submission = admitted.ok_value
-        if claimed:
-            answered = await self.claim(submission)
-            if answered is not None:
-                return answered
-        if ambiguous:
-            self.state.takeover.held.append(submission.name)
-        elif found:
-            adopt(self.state, submission, self.clock.now())
-            release_claimed(self.state, submission)
-        elif claimed:
-            release_claimed(self.state, submission)
-        return submission
-
     async def claim(self, submission):
         """Claim a submission on a quorum; return an answer when it may not run here."""
         name = submission.name
@@ -248,7 +218,7 @@
         result = await self.control.propose(command, min(left_s, 5.0))
         if result is not None and result.accepted:
             return None
-        answered = claim_refusal(name, result)
+        answered = claim_refusal(submission, result)
         self.forget(submission, answered)
         return answered
 
@@ -415,19 +385,23 @@
 
 def refused(name, refusal):
     """Return the answer to a refused submission."""
-    return Answered(name, State.NOT_RUN, refusal.code, refusal.reason, refusal.retry_after_ms)
+    state = State.FAILED if refusal.code is Code.MAY_HAVE_RUN else State.NOT_RUN
+    return Answered(name, state, refusal.code, refusal.reason, refusal.retry_after_ms)
 
 
-def claim_refusal(name, result):
+def claim_refusal(submission, result):
     """Return the answer to a submission whose claim was not granted."""
+    name = submission.name
     if result is None:
         reason = "the claim could not be confirmed on a quorum"
+        if submission.may_have_begun:
+            return Answered(name, State.FAILED, Code.MAY_HAVE_RUN, reason)
         return Answered(name, State.NOT_RUN, Code.UNAVAILABLE, reason, 1000)
     if result.code == "conflict":
         reason = f"submission {name} was used before with other content"
         return Answered(name, State.NOT_RUN, Code.CONFLICTING_KEY, reason)
     if result.code == "expired":
-        return Answered(name, State.NOT_RUN, Code.EXPIRED_KEY, result.reason)
+        return Answered(name, State.FAILED, Code.EXPIRED_KEY, result.reason)
     detail = result.detail
     if detail.get("state") == "running":
         reason = "it was begun before and its end is unknown; it is not run again"
--- a/onyxfork/entry/reports.py
+++ b/onyxfork/entry/reports.py
@@ -39,8 +39,6 @@
     }
 
 
-
-
 def worker_rows(state, now, limit):
     """Return rows on the workers of the cell."""
     return [
--- a/onyxfork/entry/requests.py
+++ b/onyxfork/entry/requests.py
@@ -44,7 +44,7 @@
     digest: str
 
 
-class Invalid(Exception):  # noqa: N818
+class Invalid(Exception):
     """A field of a body that is wrong."""
 
     def __init__(self, field, reason, code=Code.BAD_REQUEST):
--- a/onyxfork/metrics.py
+++ b/onyxfork/metrics.py
@@ -97,7 +97,9 @@
 
     def gauge(self, name, unit, description, read):
         """Register a gauge that calls `read` when scraped."""
-        self.meter.create_observable_gauge(name, [lambda _: [Observation(read())]], unit, description)
+        self.meter.create_observable_gauge(
+            name, [lambda _: [Observation(read())]], unit, description
+        )
 
     def render(self):
         """Return the text for a scrape and its content type."""
--- a/onyxfork/settings.py
+++ b/onyxfork/settings.py
@@ -240,7 +240,9 @@
         return [build(inner, item, f"{path}[{at}]", problems) for at, item in items]
     if get_origin(kind) is dict and type(value) is dict:
         inner = get_args(kind)[1]
-        return {name: build(inner, item, f"{path}.{name}", problems) for name, item in value.items()}
+        return {
+            name: build(inner, item, f"{path}.{name}", problems) for name, item in value.items()
+        }
     if get_origin(kind) in (list, dict):
         wanted = "a list" if get_origin(kind) is list else "an object"
         problems.append(f"{path}: expected {wanted}, got {type(value).__name__}")
--- a/onyxfork/systems/admission.py
+++ b/onyxfork/systems/admission.py
@@ -37,8 +37,8 @@
     return Ok(known)
 
 
-def admit(state, request, now, hold=False):
-    """Accept a new submission or refuse it.
+def admit(state, request, now, checked=True):
+    """Accept a new submission or refuse it; its tasks wait for :func:`release_claimed`.
 
     Parameters
     ----------
@@ -46,8 +46,8 @@
     request : Request
     now : float
         Monotonic seconds.
-    hold : bool
-        When true the tasks wait for :func:`release_claimed`.
+    checked : bool
+        When false, only an unknown job is refused: the submission may already run.
 
     Returns
     -------
@@ -60,25 +60,27 @@
         return Err(Refusal(Code.UNKNOWN_JOB, f"no job {path}"))
     lane = lane_for(state, request, job)
     expected = [expected_ms(state, request, index) for index in range(len(request.inputs))]
-    refusal = (
-        check_shape(state, lane)
-        or check_limits(lane)
-        or check_memory(state, request)
-        or check_deadline(state, request, lane, expected, now)
-    )
+    refusal = find_refusal(state, request, lane, expected, now) if checked else None
     if refusal is not None:
         return Err(refusal)
     submission = make_submission(state, request, lane, expected, now)
     state.submissions[request.submission] = submission
     heappush(state.deadlines, (request.deadline, request.submission))
-    if not hold:
-        add_waiting(state, submission)
-        queue_submission(state, submission)
     return Ok(submission)
 
 
+def find_refusal(state, request, lane, expected, now):
+    """Return the first reason to refuse a submission, or None."""
+    return (
+        check_shape(state, lane)
+        or check_limits(lane)
+        or check_memory(state, request)
+        or check_deadline(state, request, lane, expected, now)
+    )
+
+
 def release_claimed(state, submission):
-    """Let the tasks of a held submission be placed."""
+    """Let the tasks of an admitted submission be placed."""
     if submission.state is State.RUNNING:
         add_waiting(state, submission)
         queue_submission(state, submission)
@@ -162,9 +164,7 @@
     """Return the expected run time of all waiting tasks that go before `urgency`."""
     offsets = state.tuning.order_offset_s
     return sum(
-        waiting
-        for other, waiting in state.waiting_ms.items()
-        if offsets[other] <= offsets[urgency]
+        waiting for other, waiting in state.waiting_ms.items() if offsets[other] <= offsets[urgency]
     )
 
 
--- /dev/null
+++ b/onyxfork/systems/intake.py
@@ -0,0 +1,93 @@
+"""Intake: what an owner does with a request, from its key to its place in the queue.
+
+A key that is known gets what is known of it. A new one is admitted or refused; a submission that
+must run at most once waits for its claim; one that may have begun under a former owner waits until
+every worker has told what it began.
+"""
+
+from attrs import define
+from result import Err, Ok
+
+from onyxfork.entities.outcomes import Code, Refusal
+from onyxfork.entities.submissions import Submission
+from onyxfork.systems.admission import admit, find_known, release_claimed
+from onyxfork.systems.membership import (
+    adopt,
+    is_ambiguous,
+    may_have_begun,
+    refuse_unknowable,
+)
+from onyxfork.utils.ids import id_time_ms
+
+__all__ = ["Intake", "take_in", "let_in"]
+
+
+@define(frozen=True)
+class Intake:
+    """An accepted request.
+
+    Parameters
+    ----------
+    submission : Submission
+    is_new : bool
+        False for a resubmission.
+    needs_claim : bool
+        Whether :func:`let_in` must wait for a claim.
+    """
+
+    submission: Submission
+    is_new: bool
+    needs_claim: bool = False
+
+
+def take_in(state, request, now):
+    """Accept or refuse a request.
+
+    Parameters
+    ----------
+    state : Dispatch
+    request : Request
+    now : float
+
+    Returns
+    -------
+    Result
+        ``Ok(Intake)`` or ``Err(Refusal)``. A new submission does nothing before
+        :func:`let_in`.
+    """
+    known = find_known(state, request)
+    if known.is_err():
+        return known
+    if known.ok_value is not None:
+        return Ok(Intake(known.ok_value, False))
+    begun = may_have_begun(state, request.submission)
+    admitted = admit(state, request, now, checked=not begun)
+    if admitted.is_err():
+        return Err(as_begun(admitted.err_value) if begun else admitted.err_value)
+    submission = admitted.ok_value
+    submission.may_have_begun = begun
+    job = state.catalogue.find("job", request.organisation, request.service, request.job)
+    return Ok(Intake(submission, True, not job.idempotent))
+
+
+def as_begun(refusal):
+    """Return a refusal that does not claim that nothing ran."""
+    reason = f"{refusal.reason}; tasks may have begun before the owner was replaced"
+    return Refusal(Code.MAY_HAVE_RUN, reason)
+
+
+def let_in(state, submission, now):
+    """Queue a new submission, after its claim was granted when it needed one.
+
+    Parameters
+    ----------
+    state : Dispatch
+    submission : Submission
+    now : float
+    """
+    if is_ambiguous(state, id_time_ms(submission.name)):
+        state.takeover.held.append(submission.name)
+        return
+    adopt(state, submission, now)
+    refuse_unknowable(state, submission, now)
+    release_claimed(state, submission)
--- a/onyxfork/systems/membership.py
+++ b/onyxfork/systems/membership.py
@@ -8,6 +8,7 @@
 from onyxfork.systems.placement import reindex
 from onyxfork.systems.queueing import add_waiting, queue_submission
 from onyxfork.systems.results import answer, apply_result, release_limits
+from onyxfork.utils.ids import id_time_ms
 
 __all__ = [
     "worker_led",
@@ -16,6 +17,9 @@
     "worker_lost",
     "release_held",
     "is_ambiguous",
+    "is_unknowable",
+    "refuse_unknowable",
+    "may_have_begun",
     "adopt",
     "settle_takeover",
 ]
@@ -60,18 +64,20 @@
         worker.state = "leaving" if led.leaving or not led.slots else "serving"
         worker.slots = led.slots
     reindex(state, worker)
-    note_known(state, worker, led)
+    note_known(state, worker, node, led)
     fetch_outstanding(state, worker)
     return worker
 
 
-def note_known(state, worker, led):
+def note_known(state, worker, node, led):
     """Remember what a worker began for a former owner."""
-    state.takeover.unaccounted.discard(worker.name)
-    if state.takeover.at_wall_ms is None:
+    takeover = state.takeover
+    takeover.unaccounted.discard(worker.name)
+    takeover.latest_since_ms = max(takeover.latest_since_ms, node.since_ms)
+    if takeover.at_wall_ms is None:
         return
     for known in led.known:
-        found = state.takeover.found.setdefault(known.submission, {})
+        found = takeover.found.setdefault(known.submission, {})
         for index in known.running + known.ended:
             found[index] = worker.name
 
@@ -135,8 +141,14 @@
         release_limits(state, lane)
 
 
+def predates_takeover(state, issued_ms):
+    """Return whether a submission may have been with a former owner."""
+    at_wall_ms = state.takeover.at_wall_ms
+    return at_wall_ms is not None and issued_ms <= at_wall_ms + KEY_SKEW_MS
+
+
 def is_ambiguous(state, issued_ms):
-    """Return whether a submission may have begun under a former owner unseen.
+    """Return whether a submission may have begun on a worker that has not told yet.
 
     Parameters
     ----------
@@ -144,10 +156,25 @@
     issued_ms : int
         Time of issue in the submission's identifier.
     """
-    takeover = state.takeover
-    if takeover.at_wall_ms is None or issued_ms > takeover.at_wall_ms + KEY_SKEW_MS:
+    return predates_takeover(state, issued_ms) and bool(state.takeover.unaccounted)
+
+
+def is_unknowable(state, issued_ms):
+    """Return whether a submission may have begun on a worker that can not tell any more."""
+    if not predates_takeover(state, issued_ms):
         return False
-    return bool(takeover.unaccounted or takeover.vanished)
+    takeover = state.takeover
+    return bool(takeover.vanished) or takeover.latest_since_ms >= issued_ms - KEY_SKEW_MS
+
+
+def may_have_begun(state, name):
+    """Return whether a submission may have begun under a former owner, as far as is known."""
+    issued_ms = id_time_ms(name)
+    return (
+        name in state.takeover.found
+        or is_ambiguous(state, issued_ms)
+        or is_unknowable(state, issued_ms)
+    )
 
 
 def adopt(state, submission, now):
@@ -165,6 +192,7 @@
     int
         Tasks found running or ended; their results are fetched.
     """
+    submission.may_have_begun = False
     found = state.takeover.found.pop(submission.name, {})
     for index, name in found.items():
         worker = state.workers.get(name)
@@ -202,20 +230,21 @@
         if submission is None or submission.state is not State.RUNNING:
             continue
         adopt(state, submission, now)
-        if submission.state is not State.RUNNING:
-            continue
-        if state.takeover.vanished and submission.waiting:
-            fail_ambiguous(state, submission, now)
-            continue
-        add_waiting(state, submission)
-        queue_submission(state, submission)
+        refuse_unknowable(state, submission, now)
+        if submission.state is State.RUNNING:
+            add_waiting(state, submission)
+            queue_submission(state, submission)
     return len(held)
 
 
-def fail_ambiguous(state, submission, now):
-    """Fail a submission whose tasks may have begun on a worker that is gone."""
-    names = ", ".join(sorted(state.takeover.vanished))
-    reason = f"tasks may have begun on {names} before the entry was replaced"
+def refuse_unknowable(state, submission, now):
+    """Fail a submission when tasks not found anywhere may have begun on a worker that is gone."""
+    if submission.state is not State.RUNNING or not submission.waiting:
+        return
+    if not is_unknowable(state, id_time_ms(submission.name)):
+        return
+    names = ", ".join(sorted(state.takeover.vanished)) or "a worker that restarted"
+    reason = f"tasks may have begun on {names} before the owner was replaced"
     submission.began += 1
     submission.waiting = []
     answer(state, submission, State.FAILED, Code.MAY_HAVE_RUN, reason, now)
--- a/onyxfork/systems/placement.py
+++ b/onyxfork/systems/placement.py
@@ -112,8 +112,6 @@
     return state.index.has_room(1) or any(worker.free > 0 for worker in state.slow.values())
 
 
-
-
 def place_one(state, submission, now):
     """Send the next task of a submission; return whether a worker was found."""
     index = submission.waiting[-1]
--- a/onyxfork/systems/policies.py
+++ b/onyxfork/systems/policies.py
@@ -45,7 +45,7 @@
         Worker or None
         """
 
-    def learn(self, state, worker, response_ms, expected_ms):
+    def learn(self, state, worker, response_ms, expected_ms):  # noqa: B027
         """Take the end of a task into account; most policies learn nothing here."""
 
 
--- a/onyxfork/systems/queueing.py
+++ b/onyxfork/systems/queueing.py
@@ -6,7 +6,15 @@
 from onyxfork.entities.workers import Shape
 from onyxfork.systems.limits import limits_of
 
-__all__ = ["lane_for", "queue_submission", "make_ready", "add_waiting", "count_in", "count_out", "unpark"]
+__all__ = [
+    "lane_for",
+    "queue_submission",
+    "make_ready",
+    "add_waiting",
+    "count_in",
+    "count_out",
+    "unpark",
+]
 
 
 def lane_for(state, request, job):
--- a/onyxfork/systems/results.py
+++ b/onyxfork/systems/results.py
@@ -109,8 +109,7 @@
 def give_up_task(state, submission, index, code, reason, now):
     """Answer a submission one of whose tasks can not be run."""
     submission.reasons[index] = f"not run: {reason}"
-    final = State.FAILED if submission.began or submission.sent else State.NOT_RUN
-    answer(state, submission, final, code, reason, now)
+    answer(state, submission, State.NOT_RUN, code, reason, now)
 
 
 def answer(state, submission, final, code, reason, now, retry_after_ms=None):
@@ -128,9 +127,9 @@
 
     Notes
     -----
-    A submission with tasks outstanding is never answered as not run: one of them may start.
+    A submission that may have begun is never answered as not run but as failed.
     """
-    if final is State.NOT_RUN and (submission.began or submission.sent):
+    if final is State.NOT_RUN and has_begun(submission):
         final = State.FAILED
     drop_waiting(state, submission)
     submission.state = final
@@ -152,6 +151,11 @@
     state.outbox.answered.append(submission)
 
 
+def has_begun(submission):
+    """Return whether any task of a submission may have started or may yet start."""
+    return bool(submission.began or submission.sent or submission.may_have_begun)
+
+
 def task_reasons(submission):
     """Return what became of each task of a failed submission."""
     reasons = []
--- a/onyxfork/workload/caller.py
+++ b/onyxfork/workload/caller.py
@@ -124,7 +124,6 @@
     """Return whether a complete answer holds exactly what the upstreams compute."""
     outputs = record.body.get("outputs")
     expected = [
-        expected_output(record.submission, index, index)
-        for index in range(len(record.spec.run_ms))
+        expected_output(record.submission, index, index) for index in range(len(record.spec.run_ms))
     ]
     return outputs == expected
--- /dev/null
+++ b/tests/control/test_state.py
@@ -0,0 +1,135 @@
+"""Changes take effect once, are never reverted, and name what is wrong."""
+
+from onyxfork.control.commands import Announce, Change, Claim, ReleaseClaim, SettleClaim
+from onyxfork.control.state import ControlState
+from onyxfork.messages import pack
+from onyxfork.utils import new_id
+
+WALL_MS = 1_700_000_000_000
+
+
+class Log:
+    """Applies commands one after the other."""
+
+    def __init__(self):
+        self.state = ControlState()
+        self.index = 0
+
+    def apply(self, command):
+        self.index += 1
+        return self.state.apply(self.index, pack([command]))
+
+    def change(self, table, key, action, fields=None, expected=None, command=None):
+        command = command or new_id(WALL_MS)
+        return self.apply(
+            Change(command, "anna", WALL_MS, table, key, action, fields or {}, expected)
+        )
+
+
+def with_job():
+    log = Log()
+    log.change("organisation", "o", "create")
+    log.change("service", "o/s", "create")
+    log.change("job", "o/s/j", "create", {"urgency": "urgent"})
+    return log
+
+
+def test_resent_command_gets_the_first_answer():
+    log = with_job()
+    command = new_id(WALL_MS)
+    first = log.change("job", "o/s/j", "alter", {"max_running": 5}, command=command)
+    log.change("job", "o/s/j", "alter", {"max_running": 6})
+    again = log.change("job", "o/s/j", "alter", {"max_running": 5}, command=command)
+    assert again == first
+    assert log.state.catalogue.find("job", "o/s/j").max_running == 6
+
+
+def test_of_two_on_one_version_one_wins():
+    log = with_job()
+    version = log.state.versions["job", "o/s/j"].version
+    won = log.change("job", "o/s/j", "alter", {"max_running": 5}, expected=version)
+    lost = log.change("job", "o/s/j", "alter", {"max_running": 6}, expected=version)
+    assert won.accepted and not lost.accepted
+    assert (lost.code, lost.version, lost.changed_by) == ("conflict", won.version, "anna")
+
+
+def test_refusal_names_the_field():
+    log = with_job()
+    for fields, name in (
+        ({"urgency": "soon"}, "urgency"),
+        ({"max_tasks": 121}, "max_tasks"),
+        ({"max_running": "many"}, "max_running"),
+        ({"colour": "red"}, "colour"),
+    ):
+        result = log.change("job", "o/s/j", "alter", fields)
+        assert (result.accepted, result.field_name) == (False, name)
+
+
+def test_parent_must_exist_and_stays_while_needed():
+    log = with_job()
+    assert log.change("job", "o/x/j", "create").field_name == "service"
+    assert "depends on it" in log.change("service", "o/s", "delete").reason
+
+
+def test_old_command_identifier_is_refused():
+    log = with_job()
+    old = new_id(WALL_MS - 25 * 3600 * 1000)
+    assert log.change("job", "o/s/j", "alter", {"max_running": 5}, command=old).code == "expired"
+
+
+def test_snapshot_is_the_same_state():
+    log = with_job()
+    log.apply(Claim(WALL_MS, new_id(WALL_MS), "d", "e1", 1))
+    snapshot = log.state.to_snapshot()
+    again = ControlState.from_snapshot(snapshot)
+    assert again.to_snapshot() == snapshot
+    assert again.catalogue.tables == log.state.catalogue.tables
+
+
+def test_claim_is_granted_once_and_freed_by_a_true_not_run():
+    log = Log()
+    key = new_id(WALL_MS)
+    assert log.apply(Claim(WALL_MS, key, "d", "e1", 1)).accepted
+    assert log.apply(Claim(WALL_MS, key, "other", "e2", 1)).code == "conflict"
+    assert log.apply(Claim(WALL_MS, key, "d", "e2", 1)).code == "taken"
+    log.apply(ReleaseClaim(WALL_MS, key, 1))
+    assert log.apply(Claim(WALL_MS, key, "d", "e2", 1)).accepted
+    log.apply(SettleClaim(WALL_MS, key, "complete", "complete"))
+    refused = log.apply(Claim(WALL_MS, key, "d", "e3", 9))
+    assert (refused.code, refused.detail["state"]) == ("taken", "complete")
+
+
+def test_expired_claim_key_never_runs_again():
+    log = Log()
+    key = new_id(WALL_MS)
+    log.apply(Claim(WALL_MS, key, "d", "e1", 1))
+    later = WALL_MS + 25 * 3600 * 1000
+    assert log.apply(Claim(later, key, "d", "e2", 2)).code == "expired"
+    assert not log.state.claims
+
+
+def node(**changes):
+    fields = {"name": "w", "role": "agent", "host": "127.0.0.1", "port": 1, "zone": "z"}
+    return {**fields, "incarnation": "a", "sequence": 1, **changes}
+
+
+def test_stale_announcement_never_resurrects():
+    log = Log()
+    log.apply(Announce(WALL_MS, [node()]))
+    log.apply(Announce(WALL_MS, [node(state="left", sequence=3)]))
+    log.apply(Announce(WALL_MS, [node(sequence=2)]))
+    log.apply(Announce(WALL_MS, [node(sequence=9)]))
+    assert log.state.catalogue.find("node", "w").state == "left"
+    log.apply(Announce(WALL_MS, [node(incarnation="b")]))
+    assert log.state.catalogue.find("node", "w").state == "serving"
+
+
+def test_follower_gets_deltas_or_everything():
+    log = with_job()
+    version = log.state.version
+    log.change("job", "o/s/j", "alter", {"max_running": 7})
+    changes = log.state.changes_since(version, ("job",))
+    assert [(change.key, change.version) for change in changes] == [("o/s/j", log.index)]
+    fresh = ControlState.from_snapshot(log.state.to_snapshot())
+    assert fresh.changes_since(version, ("job",)) is None
+    assert len(fresh.all_rows(("job", "service"))) == 2
--- /dev/null
+++ b/tests/systems/dispatch_network.py
@@ -0,0 +1,339 @@
+"""Owners, agents and claims joined by a network that drops, doubles, delays and reorders.
+
+Every decision is made by the product's own functions; the network, the clock and the callers are
+small fakes. The checks rest on what upstreams were told to start and what callers were answered.
+"""
+
+from collections import Counter
+from random import Random
+
+from attrs import define, field
+
+from onyxfork.control.commands import Claim, ReleaseClaim, SettleClaim
+from onyxfork.control.state import ControlState
+from onyxfork.entities.agent_tasks import AgentState
+from onyxfork.entities.catalogue import Catalogue, Job, Node
+from onyxfork.entities.dispatch import Dispatch, Tuning
+from onyxfork.entities.outcomes import Code, State
+from onyxfork.entities.submissions import Request
+from onyxfork.messages import Fetch, Lead, Led, Results, Start, Stop, pack
+from onyxfork.systems import execution
+from onyxfork.systems.intake import let_in, take_in
+from onyxfork.systems.lifetimes import cancel
+from onyxfork.systems.membership import worker_led, worker_lost, worker_unreachable
+from onyxfork.systems.policies import LateBinding
+from onyxfork.systems.results import apply_result
+from onyxfork.systems.tick import tick
+from onyxfork.utils.ids import new_id
+
+LEASE_S = 2.0
+WORKERS = ("w1", "w2")
+WALL_START_MS = 1_700_000_000_000
+
+
+class Violation(AssertionError):
+    """A promise of the brief was broken."""
+
+
+@define
+class FakeAgent:
+    """An agent and the upstream beside it."""
+
+    state: AgentState
+    since_ms: int
+    running: dict = field(factory=dict)
+
+
+@define
+class FakeOwner:
+    """An owner for one epoch; it believes in its lease until `lease_until`."""
+
+    state: Dispatch
+    lease_until: float
+    waiting: dict = field(factory=dict)
+    echoes: dict = field(factory=dict)
+
+
+class Functions:
+    """The functions under test; a planted fault replaces one of them."""
+
+    accept = staticmethod(execution.accept)
+    lead = staticmethod(execution.lead)
+    let_in = staticmethod(let_in)
+
+
+class DispatchNetwork:
+    """One cell with two workers and one owner at a time."""
+
+    def __init__(self, functions=Functions):
+        self.functions = functions
+        self.now = 10.0
+        self.rng = Random(1)
+        self.catalogue = Catalogue()
+        for name, idempotent in (("proof", True), ("billing", False)):
+            row = Job(name, "s", "o", idempotent=idempotent)
+            self.catalogue.put("job", f"o/s/{name}", row)
+        self.claims = ControlState()
+        self.log_index = 0
+        self.agents = {}
+        self.incarnations = Counter()
+        for name in WORKERS:
+            self.start_agent(name)
+        self.inbox = []
+        self.owners = []
+        self.starts = Counter()
+        self.begun = set()
+        self.refused = set()
+        self.requests = {}
+        self.now += 10.0
+        self.new_owner()
+
+    @property
+    def wall_ms(self):
+        return WALL_START_MS + int(self.now * 1000)
+
+    @property
+    def owner(self):
+        return self.owners[-1]
+
+    # Agents
+
+    def start_agent(self, name):
+        """Start an agent that remembers nothing."""
+        self.incarnations[name] += 1
+        state = AgentState(incarnation=f"{name}.{self.incarnations[name]}", slots=1)
+        self.agents[name] = FakeAgent(state, self.wall_ms)
+        node = Node(name, "agent", "127.0.0.1", 1, "z", incarnation=state.incarnation, slots=1)
+        node.since_ms = self.wall_ms
+        self.catalogue.put("node", name, node)
+
+    def restart_agent(self, name):
+        """Kill an agent; messages to and from it are lost."""
+        self.inbox = [item for item in self.inbox if name not in item[:2]]
+        self.start_agent(name)
+
+    def run_agent(self, name):
+        """Start what is ready, as the upstream's journal sees it."""
+        agent = self.agents[name]
+        for task in execution.begin_ready(agent.state, self.now):
+            key = (task.submission, task.index)
+            self.starts[key] += 1
+            agent.running[key] = task.start
+            self.check_start(key)
+
+    def finish(self, name, outcome="done"):
+        """End the first running task of a worker."""
+        agent = self.agents[name]
+        if not agent.running:
+            return
+        key = next(iter(agent.running))
+        del agent.running[key]
+        result = execution.finish(agent.state, key, outcome, list(key), outcome, self.now)
+        self.send(name, "owner", Results([result], agent.state.free, self.now))
+        self.run_agent(name)
+
+    def to_agent(self, name, message):
+        """Deliver one message to an agent."""
+        agent = self.agents[name]
+        replies = []
+        if isinstance(message, Lead):
+            led = self.functions.lead(agent.state, message, self.now)
+            self.send(name, "owner", led)
+        elif isinstance(message, Start):
+            if message.epoch == agent.state.lead.epoch:
+                agent.state.lead.echo = max(agent.state.lead.echo, message.echo)
+            replies = self.functions.accept(agent.state, message, self.now)
+        elif isinstance(message, Stop):
+            replies, running = execution.stop(agent.state, message.tasks, self.now)
+            for key in running:
+                if key in agent.running:
+                    del agent.running[key]
+                    ended = execution.finish(agent.state, key, "stopped", None, "", self.now)
+                    replies.append(ended)
+        elif isinstance(message, Fetch):
+            replies = execution.fetch(agent.state, message.tasks, self.now)
+        replies = [reply for reply in replies if reply is not None]
+        if replies:
+            self.send(name, "owner", Results(replies, 0, self.now))
+        self.run_agent(name)
+
+    # Owners
+
+    def new_owner(self):
+        """Let another entry own the cell, once the former one's lease has ended."""
+        if self.owners:
+            self.now = max(self.now, self.owner.lease_until)
+        epoch = len(self.owners) + 1
+        state = Dispatch(
+            "c", LateBinding(), Tuning(), self.rng, epoch=epoch, catalogue=self.catalogue
+        )
+        owner = FakeOwner(state, self.now + LEASE_S)
+        self.owners.append(owner)
+        if epoch > 1:
+            state.takeover.at_wall_ms = self.wall_ms
+            state.takeover.unaccounted.update(WORKERS)
+        for name in WORKERS:
+            self.connect(name)
+
+    def connect(self, name):
+        """Open a connection to an agent: what was on the former one is lost."""
+        self.inbox = [item for item in self.inbox if name not in item[:2] or item[3] != self.owner]
+        worker = self.owner.state.workers.get(name)
+        if worker is not None:
+            worker_unreachable(self.owner.state, worker, self.now)
+        self.owner.echoes[name] = self.now
+        lead = Lead("c", self.owner.state.epoch, f"e{len(self.owners)}", self.now)
+        self.send("owner", name, lead)
+        self.run_owner(self.owner)
+
+    def heartbeat(self):
+        """Renew the lease and prove to the agents that the owner is there."""
+        self.owner.lease_until = self.now + LEASE_S
+        for name, agent in self.agents.items():
+            self.owner.echoes[name] = self.now
+            if agent.state.lead.epoch == self.owner.state.epoch:
+                agent.state.lead.echo = self.now
+            self.run_agent(name)
+        self.run_owner(self.owner)
+
+    def to_owner(self, name, message, owner):
+        """Deliver one message to the owner that the connection belongs to."""
+        state = owner.state
+        if isinstance(message, Led):
+            node = self.catalogue.find("node", name)
+            if message.accepted and node.incarnation == message.incarnation:
+                worker_led(state, node, message, self.now)
+        elif isinstance(message, Results):
+            worker = state.workers.get(name)
+            for result in message.results if worker is not None else []:
+                apply_result(state, worker, result, self.now)
+        self.run_owner(owner)
+
+    def give_up(self, name):
+        """Give up a worker that could not be reached."""
+        state = self.owner.state
+        if name in state.takeover.unaccounted:
+            state.takeover.unaccounted.discard(name)
+            state.takeover.vanished.add(name)
+        worker = state.workers.get(name)
+        if worker is not None:
+            worker_lost(state, worker, "given up", self.now)
+        self.run_owner(self.owner)
+
+    def run_owner(self, owner):
+        """Run a tick and send what it decided."""
+        outbox = tick(owner.state, self.now, self.now < owner.lease_until)
+        epoch = owner.state.epoch
+        for name, starts in outbox.starts.items():
+            self.send("owner", name, Start("c", epoch, owner.echoes[name], starts), owner)
+        for name, ids in outbox.stops.items():
+            self.send("owner", name, Stop(ids), owner)
+        for name, ids in outbox.fetches.items():
+            self.send("owner", name, Fetch(ids), owner)
+        for submission in outbox.answered:
+            self.answered(owner, submission)
+
+    # Callers
+
+    def submit(self, job, tasks, name=None):
+        """Submit a job to the present owner, new or again."""
+        if name is None:
+            name = new_id(self.wall_ms, self.rng)
+            self.requests[name] = (job, tasks)
+        job, tasks = self.requests[name]
+        owner = self.owner
+        inputs = list(range(tasks))
+        request = Request(name, "o", "", "s", job, "d", self.now + 20.0, inputs, [100.0] * tasks)
+        if self.now >= owner.lease_until:
+            return
+        self.refused.discard(name)
+        taken = take_in(owner.state, request, self.now)
+        if taken.is_err():
+            if taken.err_value.code is not Code.MAY_HAVE_RUN:
+                self.refuse(name)
+            return
+        intake = taken.ok_value
+        if intake.needs_claim and not self.claim(owner, name):
+            owner.state.submissions.pop(name)
+            intake.submission.state = State.FAILED
+            return
+        if intake.is_new:
+            self.functions.let_in(owner.state, intake.submission, self.now)
+        self.run_owner(owner)
+
+    def claim(self, owner, name):
+        """Claim a submission in the replicated state."""
+        command = Claim(self.wall_ms, name, "d", f"e{owner.state.epoch}", owner.state.epoch)
+        return self.apply(command).accepted
+
+    def apply(self, command):
+        """Apply one command to the claims."""
+        self.log_index += 1
+        return self.claims.apply(self.log_index, pack([command]))
+
+    def cancel(self, name):
+        """Cancel a submission at the present owner."""
+        cancel(self.owner.state, name, self.now)
+        self.run_owner(self.owner)
+
+    def answered(self, owner, submission):
+        """Take the final answer of an owner, and settle the claim."""
+        answer, name = submission.answer, submission.name
+        if answer.state is State.COMPLETE:
+            expected = [[name, index] for index in range(self.requests[name][1])]
+            if answer.outputs != expected:
+                raise Violation(f"{name} was answered in part or wrongly: {answer.outputs}")
+        if answer.state is State.NOT_RUN:
+            self.refuse(name)
+        if self.requests[name][0] == "billing":
+            if answer.state is State.NOT_RUN:
+                self.apply(ReleaseClaim(self.wall_ms, name, owner.state.epoch))
+            else:
+                self.apply(SettleClaim(self.wall_ms, name, answer.state, answer.code))
+
+    def refuse(self, name):
+        """Note that a caller was told "not run" of a submission of which nothing may have run."""
+        if any(key[0] == name for key in self.starts):
+            raise Violation(f"{name} was answered not run although it ran")
+        self.refused.add(name)
+
+    def check_start(self, key):
+        """No task starts twice, and none that was answered "not run"."""
+        if self.starts[key] > 1:
+            raise Violation(f"task {key} started {self.starts[key]} times")
+        if key[0] in self.refused:
+            raise Violation(f"task {key} started after it was answered not run")
+
+    # Network
+
+    def send(self, sender, receiver, message, owner=None):
+        """Put a message onto the connection between the present owner and an agent."""
+        self.inbox.append((sender, receiver, message, owner or self.owner))
+
+    def deliver(self, position, keep=False):
+        """Deliver one message, in any order, once or twice."""
+        if not self.inbox:
+            return
+        at = position % len(self.inbox)
+        sender, receiver, message, owner = self.inbox[at] if keep else self.inbox.pop(at)
+        if receiver == "owner":
+            self.to_owner(sender, message, owner)
+        else:
+            self.to_agent(receiver, message)
+
+    def settle(self, most=80):
+        """Deliver messages in order and let tasks end."""
+        for _ in range(most):
+            if not self.inbox:
+                break
+            self.deliver(0)
+
+    def advance(self, seconds):
+        """Let time pass."""
+        self.now += seconds
+        for name, agent in self.agents.items():
+            dropped = execution.drop_stale(agent.state, self.now)
+            if dropped:
+                self.send(name, "owner", Results(dropped, 0, self.now))
+        for owner in self.owners:
+            self.run_owner(owner)
