--- /dev/null
+++ b/onyxfork/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m onyxfork``."""
+
+from onyxfork.main import main
+
+main()
--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -38,7 +38,8 @@
 from onyxfork.control.state import ControlState
 from onyxfork.errors import OnyxforkError, ProtocolError, StorageError
 from onyxfork.messages import PROTOCOL_VERSION, Hello, Timing, open_connection, pack, serve
-from onyxfork.utils import SystemClock, owned_tasks
+from onyxfork.settings import Address
+from onyxfork.utils import clock_for, owned_tasks
 
 __all__ = ["Replica", "run_replica"]
 
@@ -68,7 +69,7 @@
         self.settings = settings
         self.storage = storage
         self.metrics = metrics
-        self.clock = clock or SystemClock()
+        self.clock = clock or clock_for(settings.clock_file)
         self.rng = Random(f"{recovered.identity}{self.clock.wall_ms()}")
         self.state = make_state(recovered.state)
         self.raft = Raft(
@@ -446,7 +447,8 @@
 
     async def ask_to_join(self):
         """Send a `Join` to every configured instance; the leader among them acts on it."""
-        mine = f"{self.settings.listen.host}:{self.port}"
+        advertised = self.settings.advertise or Address(self.settings.listen.host, self.port)
+        mine = str(advertised)
         message = Join(self.raft.me, self.settings.node, mine)
         for name, address in self.settings.members.items():
             if name == self.settings.node:
--- a/onyxfork/control/state.py
+++ b/onyxfork/control/state.py
@@ -192,8 +192,12 @@
             current = self.catalogue.find("node", node.name)
             if not self.is_news(current, node):
                 continue
-            same = current is not None and current.incarnation == node.incarnation
-            node.since_ms = current.since_ms if same else command.wall_ms
+            if current is None:
+                node.restarted_ms = 0
+            elif current.incarnation == node.incarnation:
+                node.restarted_ms = current.restarted_ms
+            else:
+                node.restarted_ms = command.wall_ms
             self.set_row(index, "node", node.name, node, command)
         self.drop_lost_nodes(index, command)
         return ChangeResult(True, version=index)
--- a/onyxfork/daemons/agent.py
+++ b/onyxfork/daemons/agent.py
@@ -16,6 +16,7 @@
     read_json_object,
     run_http,
 )
+from onyxfork.settings import advertised_address
 from onyxfork.entities.agent_tasks import AgentState
 from onyxfork.entities.catalogue import Node
 from onyxfork.errors import ProtocolError
@@ -37,7 +38,7 @@
 from onyxfork.metrics import Metrics
 from onyxfork.systems import execution
 from onyxfork.upstreams.client import HttpUpstreamClient
-from onyxfork.utils import SystemClock, owned_tasks
+from onyxfork.utils import clock_for, owned_tasks
 
 __all__ = ["Agent", "run_agent"]
 
@@ -70,7 +71,7 @@
 
     def __init__(self, settings, clock=None):
         self.settings = settings
-        self.clock = clock or SystemClock()
+        self.clock = clock or clock_for(settings.clock_file)
         self.metrics = Metrics("agent", settings.node, settings.zone)
         self.state = AgentState(incarnation=uuid4().hex[:12], fresh_s=settings.timing.silent_s)
         self.lead_connection = None
@@ -296,11 +297,12 @@
         lease = self.lease
         if lease is None:
             return
+        address = advertised_address(self.settings, self.port)
         node = Node(
             name=self.settings.node,
             role="agent",
-            host=self.settings.listen.host,
-            port=self.port,
+            host=address.host,
+            port=address.port,
             zone=self.settings.zone,
             rack=self.settings.rack,
             incarnation=self.state.incarnation,
--- a/onyxfork/daemons/entry.py
+++ b/onyxfork/daemons/entry.py
@@ -29,8 +29,9 @@
     serve,
 )
 from onyxfork.metrics import Metrics
+from onyxfork.settings import advertised_address
 from onyxfork.systems.limits import limit_rows
-from onyxfork.utils import SystemClock, owned_tasks
+from onyxfork.utils import clock_for, owned_tasks
 
 __all__ = ["Entry", "run_entry"]
 
@@ -51,7 +52,7 @@
 
     def __init__(self, settings, clock=None):
         self.settings = settings
-        self.clock = clock or SystemClock()
+        self.clock = clock or clock_for(settings.clock_file)
         self.metrics = Metrics("entry", settings.node, settings.zone)
         self.incarnation = uuid4().hex[:12]
         tls = settings.tls.contexts() if settings.tls else (None, None)
@@ -217,12 +218,13 @@
     def announce(self, state="serving"):
         """Make this entry known to control."""
         settings = self.settings
+        address = advertised_address(settings, self.port)
         self.control.announce(
             Node(
                 name=settings.node,
                 role="entry",
-                host=settings.listen.host,
-                port=self.port,
+                host=address.host,
+                port=address.port,
                 zone=settings.zone,
                 incarnation=self.incarnation,
                 state=state,
--- a/onyxfork/entities/catalogue.py
+++ b/onyxfork/entities/catalogue.py
@@ -100,8 +100,8 @@
         Grows with each announcement of one incarnation; an older one changes nothing.
     via : str
         The control instance that the node follows.
-    since_ms : int
-        When the incarnation was first announced.
+    restarted_ms : int
+        When this incarnation replaced a former one, whose memory is gone; 0 when there was none.
     """
 
     name: str
@@ -119,7 +119,7 @@
     state: str = "serving"
     sequence: int = 0
     via: str = ""
-    since_ms: int = 0
+    restarted_ms: int = 0
 
 
 @define
--- a/onyxfork/entities/dispatch.py
+++ b/onyxfork/entities/dispatch.py
@@ -96,7 +96,7 @@
         Workers that have not yet told what they started for the former owner.
     vanished : set of str
         Workers that were given up before they could tell.
-    latest_since_ms : int
+    latest_restart_ms : int
         When the worker that restarted last did so; what began before may be forgotten there.
     found : dict
         Maps a submission to the tasks that a worker had already begun: index to worker.
@@ -107,7 +107,7 @@
     at_wall_ms: int | None = None
     unaccounted: set[str] = field(factory=set)
     vanished: set[str] = field(factory=set)
-    latest_since_ms: int = 0
+    latest_restart_ms: int = 0
     found: dict[str, dict[int, str]] = field(factory=dict)
     held: list[str] = field(factory=list)
 
--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -111,6 +111,30 @@
     return ask_once(urls, token, text, json_output, command_id or None)
 
 
+def scenario(*files: Path, seed: int = 1, keep: Path | None = None):
+    """Run scripted scenarios against real processes and show a timeline of each.
+
+    :param files: scenario files
+    :param seed: chooses the load
+    :param keep: folder for settings, logs and journals
+    """
+    import asyncio
+
+    from onyxfork.workload.scenario import parse_scenario
+    from onyxfork.workload.scenario_run import run_scenario
+
+    failed = 0
+    for file in files:
+        parsed = parse_scenario(file.read_text(encoding="utf-8"))
+        if parsed.is_err():
+            raise SettingsError([f"{file}: {parsed.err_value}"])
+        print(file)
+        folder = keep / file.stem if keep is not None else None
+        verdict = asyncio.run(run_scenario(parsed.ok_value, seed=seed, keep=folder))
+        failed += not verdict.passed
+    return EXIT_REFUSED if failed else 0
+
+
 COMMANDS = {
     "entry": entry,
     "agent": agent,
@@ -119,6 +143,7 @@
     "demo": demo,
     "check-settings": check_settings,
     "ask": ask,
+    "scenario": scenario,
 }
 
 
--- a/onyxfork/settings.py
+++ b/onyxfork/settings.py
@@ -24,6 +24,7 @@
     "ControlSettings",
     "UpstreamSettings",
     "ROLES",
+    "advertised_address",
     "load_settings",
     "parse_settings",
 ]
@@ -120,7 +121,17 @@
 
 @define
 class CommonSettings:
-    """Fields that every daemon has."""
+    """Fields that every daemon has.
+
+    Parameters
+    ----------
+    listen : Address
+        For the other processes of the cluster.
+    advertise : Address or None
+        Where others reach `listen`, when that is another address.
+    clock_file : str
+        For experiments: a file with milliseconds that are added to the wall clock.
+    """
 
     role: str
     node: str = field(validator=NAME)
@@ -128,7 +139,9 @@
     zone: str = field(validator=NAME)
     listen: Address
     http: Address
+    advertise: Address | None = field(default=None, kw_only=True)
     log_level: str = field(default="info", validator=LEVEL, kw_only=True)
+    clock_file: str = field(default="", kw_only=True)
     timing: TimingSettings = field(factory=TimingSettings, kw_only=True)
     tls: TlsSettings | None = field(default=None, kw_only=True)
 
@@ -329,6 +342,11 @@
     return settings
 
 
+def advertised_address(settings, port):
+    """Return where other processes reach a daemon that listens on `port`."""
+    return settings.advertise or Address(settings.listen.host, port)
+
+
 def load_settings(path, role=None):
     """Return the settings in a file.
 
--- a/onyxfork/systems/membership.py
+++ b/onyxfork/systems/membership.py
@@ -73,7 +73,7 @@
     """Remember what a worker began for a former owner."""
     takeover = state.takeover
     takeover.unaccounted.discard(worker.name)
-    takeover.latest_since_ms = max(takeover.latest_since_ms, node.since_ms)
+    takeover.latest_restart_ms = max(takeover.latest_restart_ms, node.restarted_ms)
     if takeover.at_wall_ms is None:
         return
     for known in led.known:
@@ -164,7 +164,7 @@
     if not predates_takeover(state, issued_ms):
         return False
     takeover = state.takeover
-    return bool(takeover.vanished) or takeover.latest_since_ms >= issued_ms - KEY_SKEW_MS
+    return bool(takeover.vanished) or takeover.latest_restart_ms >= issued_ms - KEY_SKEW_MS
 
 
 def may_have_begun(state, name):
--- a/onyxfork/upstreams/standin.py
+++ b/onyxfork/upstreams/standin.py
@@ -45,6 +45,8 @@
         self.clock = clock or SystemClock()
         self.journal = journal
         self.rng = Random(settings.seed)
+        self.speed = settings.speed
+        self.fail_share = settings.fail_share
         self.running = {}
         self.started = 0
         self.ended = 0
@@ -101,9 +103,9 @@
         """Wait for the task's run time; return the HTTP status and the answer."""
         given = body["input"] if isinstance(body["input"], dict) else {}
         key = (body["submission"], body["index"])
-        if self.rng.random() < self.settings.fail_share or given.get("fail"):
+        if self.rng.random() < self.fail_share or given.get("fail"):
             return 500, {"error": "the stand-in was told to fail"}
-        await self.wait(key, float(given.get("run_ms", 0.0)) / 1000 * self.settings.speed)
+        await self.wait(key, float(given.get("run_ms", 0.0)) / 1000 * self.speed)
         return 200, {"output": expected_output(*key, given.get("value"))}
 
     async def wait(self, key, seconds):
@@ -131,6 +133,13 @@
             waiting.set_result(None)
         return web.json_response({"told": action})
 
+    async def handle_behave(self, request):
+        """Change speed or share of failures, for experiments."""
+        body = await request.json()
+        self.speed = float(body.get("speed", self.speed))
+        self.fail_share = float(body.get("fail_share", self.fail_share))
+        return web.json_response({"speed": self.speed, "fail_share": self.fail_share})
+
     # Announcements
 
     def announcement(self):
@@ -185,6 +194,7 @@
         """Return the HTTP application."""
         app = web.Application(client_max_size=8 * 1024 * 1024)
         app.router.add_post("/v1/tasks", self.handle_task)
+        app.router.add_post("/v1/behave", self.handle_behave)
         app.router.add_post("/v1/tasks/{submission}/{index}/{action}", self.handle_action)
         return app
 
--- a/onyxfork/utils/__init__.py
+++ b/onyxfork/utils/__init__.py
@@ -1,7 +1,7 @@
 """Small helpers shared by every package."""
 
-from onyxfork.utils.clock import Clock, FakeClock, SystemClock
+from onyxfork.utils.clock import Clock, FakeClock, SystemClock, clock_for
 from onyxfork.utils.ids import id_time_ms, new_id
 from onyxfork.utils.tasks import owned_tasks
 
-__all__ = ["Clock", "FakeClock", "SystemClock", "new_id", "id_time_ms", "owned_tasks"]
+__all__ = ["Clock", "FakeClock", "SystemClock", "clock_for", "new_id", "id_time_ms", "owned_tasks"]
--- a/onyxfork/utils/clock.py
+++ b/onyxfork/utils/clock.py
@@ -6,8 +6,9 @@
 
 import time
 from abc import ABC, abstractmethod
+from pathlib import Path
 
-__all__ = ["Clock", "SystemClock", "FakeClock"]
+__all__ = ["Clock", "SystemClock", "SteppedClock", "FakeClock", "clock_for"]
 
 
 class Clock(ABC):
@@ -32,6 +33,31 @@
         return int(time.time() * 1000)
 
 
+class SteppedClock(SystemClock):
+    """The system's clocks, with a wall clock that experiments can step.
+
+    Parameters
+    ----------
+    path : path-like
+        A file that holds milliseconds to add; missing or empty means none.
+    """
+
+    def __init__(self, path):
+        self.path = Path(path)
+
+    def wall_ms(self):
+        try:
+            offset_ms = int(self.path.read_text() or 0)
+        except (OSError, ValueError):
+            offset_ms = 0
+        return super().wall_ms() + offset_ms
+
+
+def clock_for(clock_file):
+    """Return the clock of a process by its setting."""
+    return SteppedClock(clock_file) if clock_file else SystemClock()
+
+
 class FakeClock(Clock):
     """A clock that moves only when told to.
 
--- a/tests/systems/dispatch_network.py
+++ b/tests/systems/dispatch_network.py
@@ -40,7 +40,6 @@
     """An agent and the upstream beside it."""
 
     state: AgentState
-    since_ms: int
     running: dict = field(factory=dict)
 
 
@@ -102,9 +101,9 @@
         """Start an agent that remembers nothing."""
         self.incarnations[name] += 1
         state = AgentState(incarnation=f"{name}.{self.incarnations[name]}", slots=1)
-        self.agents[name] = FakeAgent(state, self.wall_ms)
+        self.agents[name] = FakeAgent(state)
         node = Node(name, "agent", "127.0.0.1", 1, "z", incarnation=state.incarnation, slots=1)
-        node.since_ms = self.wall_ms
+        node.restarted_ms = self.wall_ms if self.incarnations[name] > 1 else 0
         self.catalogue.put("node", name, node)
 
     def restart_agent(self, name):
