--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,9 @@
 	$(BIN)/black --check --quiet onyxfork tests
 	$(BIN)/ruff check --quiet onyxfork tests
 
+scenarios: $(READY)
+	ONYXFORK_SCENARIOS=all $(BIN)/pytest tests/scenarios
+
 format: $(READY)
 	-$(BIN)/ruff check --quiet --fix onyxfork tests
 	$(BIN)/black --quiet onyxfork tests
--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -408,30 +408,47 @@
     # Peers
 
     async def keep_peers(self):
-        """Keep a connection open to every other member, and ask to join while not one."""
+        """Keep a connection open to every other instance, and ask to join while no member.
+
+        A member dials the other members by identity. A replica that is none yet does not know
+        them, so it dials the configured addresses and learns who is there.
+        """
         dialers = {}
         while True:
-            wanted = {k: v for k, v in self.raft.members.everyone.items() if k != self.raft.me}
-            for identity, address in wanted.items():
-                if identity not in dialers:
-                    dialers[identity] = self.spawn(self.dial(identity, parse_address(address)))
-            for identity in list(dialers):
-                if identity not in wanted:
-                    dialers.pop(identity).cancel()
-                    self.peers.pop(identity, None)
-            if self.raft.me not in self.raft.members.everyone:
-                await self.ask_to_join()
+            wanted = self.wanted_peers()
+            for key in wanted:
+                if key not in dialers:
+                    dialers[key] = self.spawn(self.dial(*key))
+            for key in list(dialers):
+                if key not in wanted:
+                    dialers.pop(key).cancel()
+                    self.peers.pop(key[0], None)
+            if not self.is_member:
+                self.ask_to_join()
             await asyncio.sleep(JOIN_INTERVAL_S)
 
+    @property
+    def is_member(self):
+        """Whether this replica is a voter or a learner as far as it knows."""
+        return self.raft.me in self.raft.members.everyone
+
+    def wanted_peers(self):
+        """Return (identity or None, address) of every instance to be connected to."""
+        if self.is_member:
+            everyone = self.raft.members.everyone.items()
+            return {(name, at) for name, at in everyone if name != self.raft.me}
+        members = self.settings.members.items()
+        return {(None, str(address)) for name, address in members if name != self.settings.node}
+
     async def dial(self, identity, address):
         """Keep one connection to a peer open."""
         delay = RECONNECT_MIN_S
         while True:
             try:
-                async with self.connect(address) as connection:
-                    if connection.peer.incarnation != identity:
-                        raise ProtocolError(f"{address[0]}:{address[1]} has another identity")
-                    self.peers[identity] = connection
+                async with self.connect(parse_address(address)) as connection:
+                    if identity not in (None, connection.peer.incarnation):
+                        raise ProtocolError(f"{address} has another identity")
+                    self.peers[connection.peer.incarnation] = connection
                     delay = RECONNECT_MIN_S
                     await connection.run(self.on_message)
             except (OSError, OnyxforkError) as error:
@@ -445,21 +462,12 @@
         counter = self.metrics.counter_for("control")
         return open_connection(address, self.hello(), self.timing(), counter, tls)
 
-    async def ask_to_join(self):
-        """Send a `Join` to every configured instance; the leader among them acts on it."""
+    def ask_to_join(self):
+        """Send a `Join` to every instance in reach; the leader among them acts on it."""
         advertised = self.settings.advertise or Address(self.settings.listen.host, self.port)
-        mine = str(advertised)
-        message = Join(self.raft.me, self.settings.node, mine)
-        for name, address in self.settings.members.items():
-            if name == self.settings.node:
-                continue
-            try:
-                async with self.connect(address.pair) as connection:
-                    connection.send(message)
-                    connection.flush()
-                    await asyncio.sleep(0)
-            except (OSError, OnyxforkError):
-                continue
+        message = Join(self.raft.me, self.settings.node, str(advertised))
+        for connection in self.peers.values():
+            connection.send(message)
 
     # Leases, heartbeats
 
--- a/onyxfork/daemons/agent.py
+++ b/onyxfork/daemons/agent.py
@@ -16,7 +16,6 @@
     read_json_object,
     run_http,
 )
-from onyxfork.settings import advertised_address
 from onyxfork.entities.agent_tasks import AgentState
 from onyxfork.entities.catalogue import Node
 from onyxfork.errors import ProtocolError
@@ -36,6 +35,7 @@
     serve,
 )
 from onyxfork.metrics import Metrics
+from onyxfork.settings import advertised_address
 from onyxfork.systems import execution
 from onyxfork.upstreams.client import HttpUpstreamClient
 from onyxfork.utils import clock_for, owned_tasks
--- a/onyxfork/upstreams/standin.py
+++ b/onyxfork/upstreams/standin.py
@@ -47,6 +47,7 @@
         self.rng = Random(settings.seed)
         self.speed = settings.speed
         self.fail_share = settings.fail_share
+        self.doubling = False
         self.running = {}
         self.started = 0
         self.ended = 0
@@ -81,7 +82,8 @@
         body = await request.json()
         key = (body["submission"], body["index"])
         self.started += 1
-        self.note("start", *key, job=body["job"], attempt=body["attempt"])
+        for _ in range(2 if self.doubling else 1):
+            self.note("start", *key, job=body["job"], attempt=body["attempt"])
         task = asyncio.current_task()
         self.running[key] = task
         began = self.clock.now()
@@ -134,10 +136,11 @@
         return web.json_response({"told": action})
 
     async def handle_behave(self, request):
-        """Change speed or share of failures, for experiments."""
+        """Change how this stand-in behaves, for experiments and planted faults."""
         body = await request.json()
         self.speed = float(body.get("speed", self.speed))
         self.fail_share = float(body.get("fail_share", self.fail_share))
+        self.doubling = bool(body.get("doubling", self.doubling))
         return web.json_response({"speed": self.speed, "fail_share": self.fail_share})
 
     # Announcements
--- a/onyxfork/workload/deployment.py
+++ b/onyxfork/workload/deployment.py
@@ -1,6 +1,8 @@
 """Deployments of the brief's users, with loopback addresses."""
 
+import os
 import socket
+from itertools import cycle
 
 from attrs import define
 
@@ -28,6 +30,9 @@
 ]
 
 LOOPBACK = "127.0.0.1"
+FIRST_PORT = 10_000
+PORT_BLOCKS = 150
+PORTS_A_BLOCK = 140
 DEMO_TOKEN = "demo-token-for-loopback-only"
 
 
@@ -127,11 +132,31 @@
 DEPLOYMENTS = {"bygdelag": BYGDELAG, "gujarat": GUJARAT}
 
 
+def candidate_ports():
+    """Yield ports below the range that the system gives out, from a place that varies by process.
+
+    Several tools may run at once, and a port that was only probed may be taken meanwhile; blocks
+    that differ by process keep them apart.
+    """
+    block = os.getpid() * 37 % PORT_BLOCKS
+    yield from cycle(
+        FIRST_PORT + (block * PORTS_A_BLOCK + number) % (PORT_BLOCKS * PORTS_A_BLOCK)
+        for number in range(PORT_BLOCKS * PORTS_A_BLOCK)
+    )
+
+
 def free_port():
-    """Return a TCP port of the loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+    """Return a TCP port of the loopback address that nothing listens on, never twice in a row."""
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
+
+
+PORTS = candidate_ports()
 
 
 def setup_statements(deployment):
--- a/onyxfork/workload/processes.py
+++ b/onyxfork/workload/processes.py
@@ -177,7 +177,7 @@
             for url in self.control_urls():
                 try:
                     status, answer = await ask_control(self.session, url, text, command=command)
-                except (aiohttp.ClientError, asyncio.TimeoutError):
+                except (TimeoutError, aiohttp.ClientError):
                     continue
                 if answer.get("code") not in ("unavailable", "unknown"):
                     return status, answer
@@ -341,6 +341,7 @@
     ProcessCluster
         Set up, with every worker led.
     """
+    Path(folder).mkdir(parents=True, exist_ok=True)
     names = process_names(controls, entries, deployment, workers)
     ports = {name: (free_port(), free_port()) for name in names}
     cluster = ProcessCluster(deployment, Path(folder), workers, controls=controls, entries=entries)
--- a/onyxfork/workload/scenario_run.py
+++ b/onyxfork/workload/scenario_run.py
@@ -185,6 +185,10 @@
     async def do_mend(self, worker):
         await self.tell_upstream(worker, {"fail_share": 0.0, "speed": 1.0})
 
+    async def do_double_starts(self, worker):
+        """Plant a fault: the upstream starts everything twice."""
+        await self.tell_upstream(worker, {"doubling": True})
+
     async def tell_upstream(self, worker, changes):
         """Change how a stand-in behaves."""
         url = self.cluster.url(f"{worker}.upstream")
@@ -350,10 +354,8 @@
     if deployment is None:
         raise OnyxforkError(f"no cluster {scenario.cluster!r}; there are {', '.join(DEPLOYMENTS)}")
     options = scenario.options
-    failing = {"worker-1": 1.0} if options.get("broken") else {}
     with TemporaryDirectory(prefix="onyxfork-scenario-") as temporary:
         folder = Path(keep or temporary)
-        folder.mkdir(parents=True, exist_ok=True)
         context = run_processes(
             deployment,
             folder,
@@ -361,7 +363,6 @@
             entries=options.get("entries", DEFAULT_ENTRIES),
             controls=options.get("controls", 1),
             cells=options.get("cells", 1),
-            failing=failing,
         )
         async with context as cluster:
             run = ScenarioRun(scenario, cluster, Random(seed), out)
