--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -135,6 +135,50 @@
     return EXIT_REFUSED if failed else 0
 
 
+def bench(
+    *,
+    workload: Path,
+    policy: str = "late-binding",
+    seed: int = 1,
+    seconds: float = 30.0,
+    json_output: Path | None = None,
+    report: Path | None = None,
+    keep: Path | None = None,
+):
+    """Run a workload against real processes on loopback and measure it.
+
+    :param workload: JSON workload file, see benchmarks/workloads
+    :param policy: a placement policy by name, several separated by commas, or all
+    :param seed: chooses the arrivals
+    :param seconds: how long jobs arrive
+    :param json_output: file for the figures
+    :param report: folder for a page with histograms by class
+    :param keep: folder for settings, logs and journals
+    """
+    import asyncio
+
+    from onyxfork.systems.policies import POLICIES
+    from onyxfork.workload.bench import run_bench
+    from onyxfork.workload.experiment import load_workload
+    from onyxfork.workload.report import print_results, write_json, write_report
+
+    loaded = load_workload(workload)
+    names = list(POLICIES) if policy == "all" else policy.split(",")
+    unknown = [name for name in names if name not in POLICIES]
+    if unknown:
+        raise SettingsError([f"--policy: expected one of {', '.join(POLICIES)}, got {unknown[0]}"])
+    results = []
+    for name in names:
+        folder = keep / name if keep is not None else None
+        results.append(asyncio.run(run_bench(loaded, name, seed, seconds, folder)))
+    print_results(results)
+    if json_output is not None:
+        write_json(results, json_output, workload=str(workload), seed=seed, seconds=seconds)
+    if report is not None:
+        write_report(results, report, f"{workload.stem}, seed {seed}, {seconds:g} s")
+    return 0 if all(result.findings.promises_hold for result in results) else EXIT_REFUSED
+
+
 COMMANDS = {
     "entry": entry,
     "agent": agent,
@@ -144,6 +188,7 @@
     "check-settings": check_settings,
     "ask": ask,
     "scenario": scenario,
+    "bench": bench,
 }
 
 
--- a/onyxfork/workload/processes.py
+++ b/onyxfork/workload/processes.py
@@ -341,7 +341,7 @@
     ProcessCluster
         Set up, with every worker led.
     """
-    Path(folder).mkdir(parents=True, exist_ok=True)
+    os.makedirs(folder, exist_ok=True)
     names = process_names(controls, entries, deployment, workers)
     ports = {name: (free_port(), free_port()) for name in names}
     cluster = ProcessCluster(deployment, Path(folder), workers, controls=controls, entries=entries)
