--- a/onyxfork/control/admin.py
+++ b/onyxfork/control/admin.py
@@ -216,7 +216,7 @@
         """Return the latest changes of the configuration, and on how many followers in force."""
         followers = list(self.replica.fanout.followers.values())
         rows = []
-        for version, wall_ms, operator, table, key, action in self.state.history:
+        for version, wall_ms, operator, table, key, action, command in self.state.history:
             lagging = [f.node for f in followers if f.in_force < version]
             rows.append(
                 {
@@ -228,6 +228,7 @@
                     "in_force_on": len(followers) - len(lagging),
                     "of": len(followers),
                     "lagging": ",".join(lagging[:10]),
+                    "command": command,
                 }
             )
         return rows
--- a/onyxfork/control/state.py
+++ b/onyxfork/control/state.py
@@ -32,7 +32,7 @@
 LOST_NODE_WINDOW_MS = 600 * 1000
 TAKEOVER_WINDOW_MS = 300 * 1000
 MAX_RECENT_CHANGES = 4096
-MAX_HISTORY = 1000
+MAX_HISTORY = 5000
 
 
 @define
@@ -181,7 +181,8 @@
             self.recent_floor = self.recent[0].version
         self.recent.append(RowChange(index, table, key, fields))
         if isinstance(command, Change):
-            self.history.append([index, command.wall_ms, by, table, key, command.action])
+            line = [index, command.wall_ms, by, table, key, command.action, command.command]
+            self.history.append(line)
 
     # Membership and cells
 
--- a/onyxfork/language/ask.py
+++ b/onyxfork/language/ask.py
@@ -13,7 +13,7 @@
 from onyxfork.language.rows import render_rows
 from onyxfork.utils.ids import new_id
 
-__all__ = ["ask_once", "ask_prompt", "read_token", "send_statement"]
+__all__ = ["ask_once", "ask_file", "ask_prompt", "read_token", "send_statement"]
 
 TIMEOUT_S = 6.0
 ATTEMPTS = 3
@@ -104,6 +104,22 @@
     return show_answer(answer, as_json)
 
 
+def ask_file(urls, token, path):
+    """Send the statements of a file in order; return 1 at the first that is refused."""
+    try:
+        lines = Path(path).read_text(encoding="utf-8").splitlines()
+    except OSError as error:
+        raise OnyxforkError(f"{path}: {error.strerror}") from None
+    for number, line in enumerate(lines, 1):
+        text = line.strip()
+        if not text or text.startswith("#"):
+            continue
+        if ask_once(urls, token, text) != 0:
+            print(f"{path}, line {number}: {text}", file=sys.stderr)
+            return 1
+    return 0
+
+
 def ask_prompt(urls, token):
     """Read statements from a prompt until the end of input."""
     from prompt_toolkit import PromptSession
--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -4,8 +4,8 @@
 daemon could not go on, 4 nobody answered.
 """
 
-import json
 import sys
+from json import dumps
 from pathlib import Path
 
 import defopt
@@ -86,29 +86,33 @@
 def ask(
     text: str = "",
     *,
+    file: Path | None = None,
     control: str = "http://127.0.0.1:7002",
     token: str = "",
     token_file: Path | None = None,
-    json_output: bool = False,
+    json: bool = False,
     command_id: str = "",
 ):
     """Send a statement of the operators' language to a control instance.
 
     :param text: the statement; without one a prompt with history is opened
+    :param file: file with one statement a line, carried out in order until one is refused
     :param control: address of a control instance's administration API; several are separated by
         commas and tried in turn
     :param token: the operator's token; the environment variable ONYXFORK_TOKEN otherwise
     :param token_file: file that holds the token
-    :param json_output: print the whole answer as JSON
+    :param json: print the whole answer as JSON
     :param command_id: version 7 UUID of a change that is sent again
     """
-    from onyxfork.language.ask import ask_once, ask_prompt, read_token
+    from onyxfork.language.ask import ask_file, ask_once, ask_prompt, read_token
 
     token = read_token(token, token_file)
     urls = control.split(",")
+    if file is not None:
+        return ask_file(urls, token, file)
     if not text:
         return ask_prompt(urls, token)
-    return ask_once(urls, token, text, json_output, command_id or None)
+    return ask_once(urls, token, text, json, command_id or None)
 
 
 def scenario(*files: Path, seed: int = 1, keep: Path | None = None):
@@ -137,21 +141,23 @@
 
 def bench(
     *,
-    workload: Path,
+    workload: Path | None = None,
+    throughput: bool = False,
     policy: str = "late-binding",
     seed: int = 1,
     seconds: float = 30.0,
-    json_output: Path | None = None,
+    json: Path | None = None,
     report: Path | None = None,
     keep: Path | None = None,
 ):
     """Run a workload against real processes on loopback and measure it.
 
     :param workload: JSON workload file, see benchmarks/workloads
+    :param throughput: measure one entry with upstreams that take no time instead
     :param policy: a placement policy by name, several separated by commas, or all
     :param seed: chooses the arrivals
     :param seconds: how long jobs arrive
-    :param json_output: file for the figures
+    :param json: file for the figures
     :param report: folder for a page with histograms by class
     :param keep: folder for settings, logs and journals
     """
@@ -162,6 +168,10 @@
     from onyxfork.workload.experiment import load_workload
     from onyxfork.workload.report import print_results, write_json, write_report
 
+    if throughput:
+        return bench_throughput(seconds, json)
+    if workload is None:
+        raise SettingsError(["--workload: expected a file, or --throughput"])
     loaded = load_workload(workload)
     names = list(POLICIES) if policy == "all" else policy.split(",")
     unknown = [name for name in names if name not in POLICIES]
@@ -172,13 +182,66 @@
         folder = keep / name if keep is not None else None
         results.append(asyncio.run(run_bench(loaded, name, seed, seconds, folder)))
     print_results(results)
-    if json_output is not None:
-        write_json(results, json_output, workload=str(workload), seed=seed, seconds=seconds)
+    if json is not None:
+        write_json(results, json, workload=str(workload), seed=seed, seconds=seconds)
     if report is not None:
         write_report(results, report, f"{workload.stem}, seed {seed}, {seconds:g} s")
     return 0 if all(result.findings.promises_hold for result in results) else EXIT_REFUSED
 
 
+def bench_throughput(seconds, json):
+    """Measure one entry with upstreams that take no time."""
+    import asyncio
+
+    from onyxfork.workload.throughput import measure_throughput
+
+    rows = [asyncio.run(measure_throughput(min(seconds, 10.0), tasks)) for tasks in (1, 10, 60)]
+    text = dumps(rows, indent=2)
+    print(text)
+    if json is not None:
+        json.write_text(text + "\n")
+    return 0 if all(row["jobs"] == row["jobs_whole"] for row in rows) else EXIT_REFUSED
+
+
+def bench_control(
+    *, seed: int = 1, controls: int = 3, seconds: float = 60.0, json: Path | None = None
+):
+    """Measure control under racing operators and failing instances.
+
+    :param seed: chooses what operators do
+    :param controls: how many control instances, 3 or 5
+    :param seconds: of repeated kills of the leader
+    :param json: file for the figures
+    """
+    import asyncio
+
+    from onyxfork.workload.bench_control import run_bench_control
+
+    figures = asyncio.run(run_bench_control(seed, controls, seconds))
+    text = dumps({"seed": seed, "controls": controls, **figures}, indent=2)
+    print(text)
+    if json is not None:
+        json.write_text(text + "\n")
+    kept = ("changes_lost", "reverts", "duplicate_effects")
+    return EXIT_REFUSED if any(figures[name] for name in kept) else 0
+
+
+def bench_capacity(*, json: Path | None = None, page: Path | None = None):
+    """Measure the slopes from which docs/CAPACITY.md is worked out.
+
+    :param json: file for the slopes
+    :param page: file for the page
+    """
+    from onyxfork.workload.bench_capacity import run_bench_capacity
+    from onyxfork.workload.capacity_page import write_page
+
+    measured = run_bench_capacity()
+    if json is not None:
+        json.write_text(dumps(measured, indent=2) + "\n")
+    if page is not None:
+        write_page(measured, page)
+
+
 COMMANDS = {
     "entry": entry,
     "agent": agent,
@@ -189,6 +252,8 @@
     "ask": ask,
     "scenario": scenario,
     "bench": bench,
+    "bench-control": bench_control,
+    "bench-capacity": bench_capacity,
 }
 
 
@@ -208,6 +273,6 @@
         print(f"onyxfork: {error}", file=sys.stderr)
         sys.exit(EXIT_UNAVAILABLE)
     except (OnyxforkError, OSError) as error:
-        print(json.dumps({"level": "CRITICAL", "message": str(error)}), file=sys.stderr)
+        print(dumps({"level": "CRITICAL", "message": str(error)}), file=sys.stderr)
         sys.exit(EXIT_FAILED)
     sys.exit(status or 0)
--- a/onyxfork/workload/processes.py
+++ b/onyxfork/workload/processes.py
@@ -97,6 +97,7 @@
     workers: int
     processes: dict = field(factory=dict)
     http_ports: dict = field(factory=dict)
+    outside: dict = field(factory=dict)
     proxy: object = None
     session: object = None
     controls: int = 1
@@ -345,6 +346,7 @@
     names = process_names(controls, entries, deployment, workers)
     ports = {name: (free_port(), free_port()) for name in names}
     cluster = ProcessCluster(deployment, Path(folder), workers, controls=controls, entries=entries)
+    cluster.outside = {name: outside for name, (outside, _) in ports.items()}
     add_all(cluster, ports, options)
     connector = aiohttp.TCPConnector(limit=0)
     async with run_proxy(ports) as proxy, aiohttp.ClientSession(connector=connector) as session:
