--- a/onyxfork/entry/owner.py
+++ b/onyxfork/entry/owner.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from onyxfork.control.commands import Claim, ReleaseClaim, SettleClaim
-from onyxfork.entities.dispatch import Dispatch, Tuning
+from onyxfork.entities.dispatch import Dispatch
 from onyxfork.entities.outcomes import Code, State
 from onyxfork.entities.submissions import Answered
 from onyxfork.entry.links import AgentLink
@@ -52,7 +52,7 @@
         self.state = Dispatch(
             cell=cell.name,
             policy=policy_named(settings.policy),
-            tuning=Tuning(max_waiting_tasks=settings.max_waiting_tasks),
+            tuning=settings.tuning,
             rng=Random(settings.seed),
             epoch=cell.epoch,
             catalogue=entry.control.catalogue,
--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -5,7 +5,7 @@
 """
 
 import sys
-from json import dumps
+from json import dumps, loads
 from pathlib import Path
 
 import defopt
@@ -149,6 +149,7 @@
     json: Path | None = None,
     report: Path | None = None,
     keep: Path | None = None,
+    tuning: str = "",
 ):
     """Run a workload against real processes on loopback and measure it.
 
@@ -160,6 +161,7 @@
     :param json: file for the figures
     :param report: folder for a page with histograms by class
     :param keep: folder for settings, logs and journals
+    :param tuning: JSON object with fields of an entry's "tuning" to try
     """
     import asyncio
 
@@ -180,7 +182,8 @@
     results = []
     for name in names:
         folder = keep / name if keep is not None else None
-        results.append(asyncio.run(run_bench(loaded, name, seed, seconds, folder)))
+        run = run_bench(loaded, name, seed, seconds, folder, read_tuning(tuning))
+        results.append(asyncio.run(run))
     print_results(results)
     if json is not None:
         write_json(results, json, workload=str(workload), seed=seed, seconds=seconds)
@@ -189,6 +192,23 @@
     return 0 if all(result.findings.promises_hold for result in results) else EXIT_REFUSED
 
 
+def read_tuning(text):
+    """Return the tuning in a JSON text, or None."""
+    from onyxfork.entities.tuning import Tuning
+    from onyxfork.settings import build
+
+    if not text:
+        return None
+    problems = []
+    try:
+        tuning = build(Tuning, loads(text), "--tuning", problems)
+    except ValueError as error:
+        raise SettingsError([f"--tuning: not JSON: {error}"]) from None
+    if problems:
+        raise SettingsError(problems)
+    return tuning
+
+
 def bench_throughput(seconds, json):
     """Measure one entry with upstreams that take no time."""
     import asyncio
--- a/onyxfork/settings.py
+++ b/onyxfork/settings.py
@@ -14,6 +14,7 @@
 import cattrs
 from attrs import define, field
 
+from onyxfork.entities.tuning import Tuning
 from onyxfork.errors import SettingsError
 
 __all__ = [
@@ -154,7 +155,7 @@
     policy: str = field(default="late-binding", kw_only=True)
     seed: int = field(default=0, kw_only=True)
     max_body_bytes: int = field(default=4 * 1024 * 1024, validator=POSITIVE, kw_only=True)
-    max_waiting_tasks: int = field(default=200_000, validator=POSITIVE, kw_only=True)
+    tuning: Tuning = field(factory=Tuning, kw_only=True)
     drain_s: float = field(default=30.0, validator=NOT_NEGATIVE, kw_only=True)
     announce_wait_s: float = field(default=1.0, validator=NOT_NEGATIVE, kw_only=True)
 
--- a/onyxfork/workload/bench.py
+++ b/onyxfork/workload/bench.py
@@ -157,7 +157,7 @@
     return delay_s
 
 
-async def run_bench(workload, policy, seed, seconds, folder=None):
+async def run_bench(workload, policy, seed, seconds, folder=None, tuning=None):
     """Run a workload under one policy.
 
     Parameters
@@ -169,6 +169,7 @@
         How long jobs arrive.
     folder : path-like, optional
         For settings, logs and journals.
+    tuning : Tuning, optional
 
     Returns
     -------
@@ -178,7 +179,12 @@
     jobs = draw_jobs(workload, seed, seconds)
     with TemporaryDirectory(prefix="onyxfork-bench-") as temporary:
         context = run_processes(
-            deployment, folder or temporary, deployment.workers, policy=policy, seed=seed
+            deployment,
+            folder or temporary,
+            deployment.workers,
+            policy=policy,
+            seed=seed,
+            tuning=tuning,
         )
         async with context as cluster:
             cluster.proxy.base_delay_s = zone_delay(deployment)
--- a/onyxfork/workload/processes.py
+++ b/onyxfork/workload/processes.py
@@ -277,7 +277,8 @@
         name = f"entry-{number + 1}"
         policy = options.get("policy", "late-binding")
         settings = entry_settings(deployment, number, control, policy, options.get("seed", 0))
-        settings = evolve(settings, announce_wait_s=0.3)
+        tuning = options.get("tuning") or settings.tuning
+        settings = evolve(settings, announce_wait_s=0.3, tuning=tuning)
         add(cluster, name, adapt(cluster, settings, ports, name), "entry")
     for number in range(cluster.workers):
         add_worker(cluster, ports, number, control, options)
@@ -335,7 +336,7 @@
         For settings, logs, journals and data.
     workers, entries, controls : int
     **options
-        ``policy``, ``seed``, ``cells``, ``speeds`` and ``failing`` (both by worker).
+        ``policy``, ``seed``, ``tuning``, ``cells``, ``speeds`` and ``failing`` (both by worker).
 
     Yields
     ------
--- a/tests/systems/dispatch_network.py
+++ b/tests/systems/dispatch_network.py
@@ -13,9 +13,10 @@
 from onyxfork.control.state import ControlState
 from onyxfork.entities.agent_tasks import AgentState
 from onyxfork.entities.catalogue import Catalogue, Job, Node
-from onyxfork.entities.dispatch import Dispatch, Tuning
+from onyxfork.entities.dispatch import Dispatch
 from onyxfork.entities.outcomes import Code, State
 from onyxfork.entities.submissions import Request
+from onyxfork.entities.tuning import Tuning
 from onyxfork.messages import Fetch, Lead, Led, Results, Start, Stop, pack
 from onyxfork.systems import execution
 from onyxfork.systems.intake import let_in, take_in
