TLS between processes and on the administration API, taken anew on SIGHUP

Cause: contexts were made anew at each connection from settings and could not be replaced in a running process. Change: one TlsContexts a process, checked at start; SIGHUP loads new files for new connections and keeps the old ones when they are not good. The handshake compares the version that this side speaks.

--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -39,6 +39,7 @@
 from onyxfork.errors import OnyxforkError, ProtocolError, StorageError
 from onyxfork.messages import PROTOCOL_VERSION, Hello, Timing, open_connection, pack, serve
 from onyxfork.settings import Address
+from onyxfork.tls import TlsContexts
 from onyxfork.utils import clock_for, owned_tasks
 
 __all__ = ["Replica", "run_replica"]
@@ -69,6 +70,7 @@
         self.settings = settings
         self.storage = storage
         self.metrics = metrics
+        self.tls = TlsContexts.from_config(settings)
         self.clock = clock or clock_for(settings.clock_file)
         self.rng = Random(f"{recovered.identity}{self.clock.wall_ms()}")
         self.state = make_state(recovered.state)
@@ -458,9 +460,8 @@
 
     def connect(self, address):
         """Return the context of a connection to a peer."""
-        tls = self.settings.tls.contexts()[1] if self.settings.tls else None
         counter = self.metrics.counter_for("control")
-        return open_connection(address, self.hello(), self.timing(), counter, tls)
+        return open_connection(address, self.hello(), self.timing(), counter, self.tls.client)
 
     def ask_to_join(self):
         """Send a `Join` to every instance in reach; the leader among them acts on it."""
@@ -531,9 +532,13 @@
         Ends with an exception when the replica can not go on.
     """
     listen = replica.settings.listen
-    tls = replica.settings.tls.contexts()[0] if replica.settings.tls else None
     server = serve(
-        listen.host, listen.port, replica.hello, replica.timing(), replica.accept, tls=tls
+        listen.host,
+        listen.port,
+        replica.hello,
+        replica.timing(),
+        replica.accept,
+        tls=replica.tls.server,
     )
     async with owned_tasks() as spawn:
         replica.spawn = spawn
--- a/onyxfork/daemons/agent.py
+++ b/onyxfork/daemons/agent.py
@@ -37,6 +37,7 @@
 from onyxfork.metrics import Metrics
 from onyxfork.settings import advertised_address
 from onyxfork.systems import execution
+from onyxfork.tls import TlsContexts
 from onyxfork.upstreams.client import HttpUpstreamClient
 from onyxfork.utils import clock_for, owned_tasks
 
@@ -85,8 +86,7 @@
         self.http_port = None
         self.spawn = None
         self.leave_reason = None
-        tls = settings.tls.contexts() if settings.tls else (None, None)
-        self.server_tls, client_tls = tls
+        self.tls = TlsContexts.from_config(settings)
         self.timing = Timing(
             settings.timing.heartbeat_s, settings.timing.suspect_s, settings.timing.silent_s
         )
@@ -96,7 +96,7 @@
             self.timing,
             self.clock,
             self.metrics.counter_for("control"),
-            client_tls,
+            self.tls.client,
         )
         self.control.listeners.append(self.on_configuration)
         self.metrics.gauge("running_tasks", "1", "Tasks running", lambda: self.state.running)
@@ -422,7 +422,7 @@
                 agent.hello,
                 agent.timing,
                 agent.accept,
-                tls=agent.server_tls,
+                tls=agent.tls.server,
             )
             async with server as port, run_http(agent.make_app(), settings.http) as http_port:
                 agent.port, agent.http_port = port, http_port
--- a/onyxfork/daemons/control.py
+++ b/onyxfork/daemons/control.py
@@ -130,6 +130,6 @@
         replica = Replica.from_config(settings, storage, metrics)
         daemon = ControlDaemon(settings, replica)
         async with run_replica(replica) as driver:
-            async with run_http(daemon.make_app(), settings.http) as port:
+            async with run_http(daemon.make_app(), settings.http, replica.tls.admin) as port:
                 daemon.http_port = port
                 yield daemon, driver
--- a/onyxfork/daemons/entry.py
+++ b/onyxfork/daemons/entry.py
@@ -31,6 +31,7 @@
 from onyxfork.metrics import Metrics
 from onyxfork.settings import advertised_address
 from onyxfork.systems.limits import limit_rows
+from onyxfork.tls import TlsContexts
 from onyxfork.utils import clock_for, owned_tasks
 
 __all__ = ["Entry", "run_entry"]
@@ -55,8 +56,7 @@
         self.clock = clock or clock_for(settings.clock_file)
         self.metrics = Metrics("entry", settings.node, settings.zone)
         self.incarnation = uuid4().hex[:12]
-        tls = settings.tls.contexts() if settings.tls else (None, None)
-        self.server_tls, self.client_tls = tls
+        self.tls = TlsContexts.from_config(settings)
         given = settings.timing
         self.timing = Timing(given.heartbeat_s, given.suspect_s, given.silent_s)
         self.control = ControlClient(
@@ -65,7 +65,7 @@
             self.timing,
             self.clock,
             self.metrics.counter_for("control"),
-            self.client_tls,
+            self.tls.client,
         )
         self.control.listeners.append(self.on_configuration)
         self.front = Front(self)
@@ -295,7 +295,7 @@
             entry.hello,
             entry.timing,
             entry.accept,
-            tls=entry.server_tls,
+            tls=entry.tls.server,
         )
         async with server as port, run_http(entry.make_app(), settings.http) as http_port:
             entry.port, entry.http_port = port, http_port
--- a/onyxfork/daemons/run.py
+++ b/onyxfork/daemons/run.py
@@ -30,9 +30,23 @@
             loop.remove_signal_handler(number)
 
 
+def reload_on_hangup(tls):
+    """Use new certificates and keys when SIGHUP arrives."""
+
+    def reload():
+        result = tls.reload()
+        if result.is_err():
+            log.error("certificates not reloaded", extra={"reason": result.err_value})
+        else:
+            log.info("certificates reloaded")
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+
+
 async def serve_entry(settings, stop):
     """Run an entry until `stop` is set, then stop it as planned."""
     async with run_entry(Entry.from_config(settings)) as entry:
+        reload_on_hangup(entry.tls)
         log.info("started", extra={"port": entry.port, "http_port": entry.http_port})
         await stop.wait()
         await entry.stop()
@@ -41,6 +55,7 @@
 async def serve_agent(settings, stop):
     """Run an agent until `stop` is set, then stop it as planned."""
     async with run_agent(Agent.from_config(settings)) as agent:
+        reload_on_hangup(agent.tls)
         log.info("started", extra={"port": agent.port, "http_port": agent.http_port})
         await stop.wait()
         await agent.stop()
@@ -49,6 +64,7 @@
 async def serve_control(settings, stop, bootstrap):
     """Run a control instance until `stop` is set or its disk fails."""
     async with run_control(settings, bootstrap) as (daemon, driver):
+        reload_on_hangup(daemon.replica.tls)
         log.info("started", extra={"port": daemon.replica.port, "http_port": daemon.http_port})
         waiting = asyncio.create_task(stop.wait())
         await asyncio.wait([waiting, driver], return_when=asyncio.FIRST_COMPLETED)
--- a/onyxfork/entry/links.py
+++ b/onyxfork/entry/links.py
@@ -64,7 +64,7 @@
         self.led = False
         try:
             async with open_connection(
-                (node.host, node.port), entry.hello(), entry.timing, counter, entry.client_tls
+                (node.host, node.port), entry.hello(), entry.timing, counter, entry.tls.client
             ) as connection:
                 self.connection = connection
                 state = self.owner.state
--- a/onyxfork/entry/peers.py
+++ b/onyxfork/entry/peers.py
@@ -52,7 +52,7 @@
         entry = self.entry
         try:
             async with open_connection(
-                (node.host, node.port), entry.hello(), entry.timing, counter, entry.client_tls
+                (node.host, node.port), entry.hello(), entry.timing, counter, entry.tls.client
             ) as connection:
                 self.connections[node.name] = connection
                 self.opening.pop(node.name, None)
--- a/onyxfork/language/ask.py
+++ b/onyxfork/language/ask.py
@@ -3,17 +3,19 @@
 import asyncio
 import json
 import os
+import ssl
 import sys
 import time
 from pathlib import Path
 
 import aiohttp
+from attrs import define
 
 from onyxfork.errors import OnyxforkError, UnavailableError
 from onyxfork.language.rows import render_rows
 from onyxfork.utils.ids import new_id
 
-__all__ = ["ask_once", "ask_file", "ask_prompt", "read_token", "send_statement"]
+__all__ = ["Asker", "ask_once", "ask_file", "ask_prompt", "read_token", "send_statement"]
 
 TIMEOUT_S = 6.0
 ATTEMPTS = 3
@@ -32,13 +34,33 @@
     return os.environ.get("ONYXFORK_TOKEN", "")
 
 
-async def send_statement(urls, token, text, command_id):
+@define(frozen=True)
+class Asker:
+    """Where to send statements, and as whom."""
+
+    urls: tuple
+    token: str
+    tls: ssl.SSLContext | None = None
+
+    @classmethod
+    def from_options(cls, urls, token, authority=None):
+        """Return what the options of the command line say."""
+        try:
+            tls = ssl.create_default_context(cafile=authority) if authority else None
+        except (OSError, ssl.SSLError) as error:
+            raise OnyxforkError(f"{authority}: {error}") from None
+        if tls is not None:
+            tls.check_hostname = False
+        return cls(tuple(urls), token, tls)
+
+
+async def send_statement(asker, text, command_id):
     """Send a statement until an instance answers it.
 
     Parameters
     ----------
-    urls : list of str
-    token, text : str
+    asker : Asker
+    text : str
     command_id : str
         Sent with every attempt, so that a change takes effect once.
 
@@ -50,14 +72,15 @@
     ------
     UnavailableError
     """
-    headers = {"Authorization": f"Bearer {token}"}
+    headers = {"Authorization": f"Bearer {asker.token}"}
     body = {"text": text, "command": command_id}
     reason = "no control instance was named"
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
     async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
-        for url in urls * ATTEMPTS:
+        for url in asker.urls * ATTEMPTS:
             try:
-                async with session.post(f"{url.rstrip('/')}/v1/ask", json=body) as response:
+                address = f"{url.rstrip('/')}/v1/ask"
+                async with session.post(address, json=body, ssl=asker.tls or True) as response:
                     answer = await response.json()
             except (TimeoutError, aiohttp.ClientError, ValueError) as error:
                 reason = f"{url}: {error or type(error).__name__}"
@@ -97,14 +120,14 @@
     return 0
 
 
-def ask_once(urls, token, text, as_json=False, command_id=None):
+def ask_once(asker, text, as_json=False, command_id=None):
     """Send one statement, print the answer and return the exit status."""
     command_id = command_id or new_id(int(time.time() * 1000))
-    answer = asyncio.run(send_statement(urls, token, text, command_id))
+    answer = asyncio.run(send_statement(asker, text, command_id))
     return show_answer(answer, as_json)
 
 
-def ask_file(urls, token, path):
+def ask_file(asker, path):
     """Send the statements of a file in order; return 1 at the first that is refused."""
     try:
         lines = Path(path).read_text(encoding="utf-8").splitlines()
@@ -114,13 +137,13 @@
         text = line.strip()
         if not text or text.startswith("#"):
             continue
-        if ask_once(urls, token, text) != 0:
+        if ask_once(asker, text) != 0:
             print(f"{path}, line {number}: {text}", file=sys.stderr)
             return 1
     return 0
 
 
-def ask_prompt(urls, token):
+def ask_prompt(asker):
     """Read statements from a prompt until the end of input."""
     from prompt_toolkit import PromptSession
     from prompt_toolkit.history import FileHistory
@@ -133,6 +156,6 @@
             return 0
         if text:
             try:
-                ask_once(urls, token, text)
+                ask_once(asker, text)
             except UnavailableError as error:
                 print(f"unavailable: {error}", file=sys.stderr)
--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -12,6 +12,7 @@
 
 from onyxfork.errors import OnyxforkError, SettingsError, UnavailableError
 from onyxfork.settings import load_settings
+from onyxfork.tls import TlsContexts
 
 __all__ = ["main"]
 
@@ -78,8 +79,8 @@
     :param file: JSON settings file of any role
     """
     settings = load_settings(file)
-    if getattr(settings, "tls", None) is not None:
-        settings.tls.contexts()
+    if settings.role != "upstream":
+        TlsContexts.from_config(settings)
     print(f"{file}: good settings of role {settings.role}")
 
 
@@ -92,6 +93,7 @@
     token_file: Path | None = None,
     json: bool = False,
     command_id: str = "",
+    authority: Path | None = None,
 ):
     """Send a statement of the operators' language to a control instance.
 
@@ -103,16 +105,16 @@
     :param token_file: file that holds the token
     :param json: print the whole answer as JSON
     :param command_id: version 7 UUID of a change that is sent again
+    :param authority: certificate of the authority, for an administration API with TLS
     """
-    from onyxfork.language.ask import ask_file, ask_once, ask_prompt, read_token
+    from onyxfork.language.ask import Asker, ask_file, ask_once, ask_prompt, read_token
 
-    token = read_token(token, token_file)
-    urls = control.split(",")
+    asker = Asker.from_options(control.split(","), read_token(token, token_file), authority)
     if file is not None:
-        return ask_file(urls, token, file)
+        return ask_file(asker, file)
     if not text:
-        return ask_prompt(urls, token)
-    return ask_once(urls, token, text, json, command_id or None)
+        return ask_prompt(asker)
+    return ask_once(asker, text, json, command_id or None)
 
 
 def scenario(*files: Path, seed: int = 1, keep: Path | None = None):
--- a/onyxfork/messages/connection.py
+++ b/onyxfork/messages/connection.py
@@ -16,7 +16,7 @@
 
 from onyxfork.errors import ProtocolError
 from onyxfork.messages.codec import pack, unpack
-from onyxfork.messages.types import PROTOCOL_VERSION, Hello, Ping, Reject
+from onyxfork.messages.types import Hello, Ping, Reject
 
 __all__ = ["Timing", "Connection", "handshake", "open_connection", "serve", "Liveness"]
 
@@ -252,8 +252,8 @@
         raise ProtocolError(f"rejected by the peer: {hello.reason}")
     if not isinstance(hello, Hello):
         raise ProtocolError("the first message must be Hello")
-    if hello.version != PROTOCOL_VERSION:
-        raise ProtocolError(f"protocol version {hello.version}, expected {PROTOCOL_VERSION}")
+    if hello.version != mine.version:
+        raise ProtocolError(f"protocol version {hello.version}, expected {mine.version}")
     if hello.cluster != mine.cluster:
         raise ProtocolError(f"cluster {hello.cluster!r}, expected {mine.cluster!r}")
 
--- a/onyxfork/settings.py
+++ b/onyxfork/settings.py
@@ -5,7 +5,6 @@
 
 import ipaddress
 import json
-import ssl
 from pathlib import Path
 from types import NoneType, UnionType
 from typing import get_args, get_origin
@@ -91,25 +90,6 @@
     key: str
     authority: str
 
-    def contexts(self):
-        """Return the server's and the client's context.
-
-        Raises
-        ------
-        SettingsError
-            When a file can not be read or the key does not belong to the certificate.
-        """
-        try:
-            server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=self.authority)
-            server.verify_mode = ssl.CERT_REQUIRED
-            server.load_cert_chain(self.certificate, self.key)
-            client = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=self.authority)
-            client.check_hostname = False
-            client.load_cert_chain(self.certificate, self.key)
-        except (OSError, ssl.SSLError) as error:
-            raise SettingsError([f"$.tls: {error}"]) from None
-        return server, client
-
 
 @define
 class TimingSettings:
--- /dev/null
+++ b/onyxfork/tls.py
@@ -0,0 +1,76 @@
+"""TLS contexts of a process, which can take new certificates while connections stay open.
+
+Between processes both sides show a certificate of one authority. The administration API shows the
+same certificate and knows operators by their tokens.
+"""
+
+import ssl
+
+from result import Err, Ok
+
+from onyxfork.errors import SettingsError
+
+__all__ = ["TlsContexts"]
+
+
+class TlsContexts:
+    """The contexts of a process; all None without TLS settings.
+
+    Parameters
+    ----------
+    files : TlsSettings or None
+
+    Attributes
+    ----------
+    server, client, admin : ssl.SSLContext or None
+    """
+
+    def __init__(self, files):
+        self.files = files
+        self.server = self.client = self.admin = None
+        if files is not None:
+            self.server = make_context(ssl.Purpose.CLIENT_AUTH, files)
+            self.server.verify_mode = ssl.CERT_REQUIRED
+            self.client = make_context(ssl.Purpose.SERVER_AUTH, files)
+            self.client.check_hostname = False
+            self.admin = make_context(ssl.Purpose.CLIENT_AUTH, files)
+
+    @classmethod
+    def from_config(cls, settings):
+        """Return the contexts of a daemon's settings.
+
+        Raises
+        ------
+        SettingsError
+            When a file can not be read or the key does not belong to the certificate.
+        """
+        return cls(settings.tls)
+
+    def reload(self):
+        """Use the files as they are now for new connections.
+
+        Returns
+        -------
+        Result
+            ``Ok(None)``, or ``Err(reason)`` when they are not good; the old ones stay in use.
+        """
+        if self.files is None:
+            return Ok(None)
+        try:
+            make_context(ssl.Purpose.CLIENT_AUTH, self.files)
+        except SettingsError as error:
+            return Err(str(error))
+        for context in (self.server, self.client, self.admin):
+            context.load_cert_chain(self.files.certificate, self.files.key)
+            context.load_verify_locations(self.files.authority)
+        return Ok(None)
+
+
+def make_context(purpose, files):
+    """Return a context with the certificate, key and authority of some files."""
+    try:
+        context = ssl.create_default_context(purpose, cafile=files.authority)
+        context.load_cert_chain(files.certificate, files.key)
+    except (OSError, ssl.SSLError) as error:
+        raise SettingsError([f"$.tls: {error}"]) from None
+    return context
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,6 +9,7 @@
 
 from onyxfork.errors import SettingsError
 from onyxfork.settings import EntrySettings, load_settings, parse_settings
+from onyxfork.tls import TlsContexts
 
 EXAMPLES = sorted(Path(__file__).parent.parent.glob("examples/*/*.json"))
 GOOD = json.loads((EXAMPLES[0].parent / "entry-1.json").read_text())
@@ -62,4 +63,4 @@
     tls = {"certificate": missing, "key": missing, "authority": missing}
     settings = parse_settings(json.dumps({**GOOD, "tls": tls}))
     with pytest.raises(SettingsError, match=r"\$.tls"):
-        settings.tls.contexts()
+        TlsContexts.from_config(settings)
