Larger work yields to smaller by twelve times the time it would hold all slots; flapping workers are damped

Change: size_bias 1 to 12 in the order of waiting work; a worker with three new incarnations within a minute is kept out for a time that doubles; agents ask for a checkpoint of tasks that outlast a planned stop. Conclusion: kept; the delay that it can cause is bounded by 12 times the job's own time on all slots.

--- a/onyxfork/daemons/agent.py
+++ b/onyxfork/daemons/agent.py
@@ -362,11 +362,17 @@
         deadline = self.clock.now() + self.settings.drain_s
         while self.state.running and self.clock.now() < deadline:
             await asyncio.sleep(0.02)
+        await self.checkpoint_running()
         if self.control.node is not None:
             self.control.node.state = "left"
             await self.control.confirm_announced(1.0)
         await asyncio.sleep(0.05)
 
+    async def checkpoint_running(self):
+        """Ask the upstream to save the progress of tasks that outlast the planned stop."""
+        running = [key for key, task in self.state.tasks.items() if task.state == "running"]
+        await asyncio.gather(*(self.upstream.checkpoint(*key) for key in running))
+
     def make_app(self):
         """Return the HTTP application for the upstream, health and metrics."""
         app = web.Application(client_max_size=65536)
--- a/onyxfork/entities/dispatch.py
+++ b/onyxfork/entities/dispatch.py
@@ -94,6 +94,7 @@
     index: WorkerIndex = field(factory=WorkerIndex)
     slow: dict[str, Worker] = field(factory=dict)
     ejected: dict[str, Worker] = field(factory=dict)
+    restarts: dict[str, dict[str, float]] = field(factory=dict)
     submissions: dict[str, Submission] = field(factory=dict)
     lanes: dict[tuple, Lane] = field(factory=dict)
     ready: list[tuple[float, int, Lane]] = field(factory=list)
--- a/onyxfork/entities/tuning.py
+++ b/onyxfork/entities/tuning.py
@@ -33,7 +33,7 @@
     order_offset_s: dict[str, float] = field(
         factory=lambda: {"highest": 0.0, "urgent": 30.0, "normal": 60.0, "low": 120.0}
     )
-    size_bias: float = 1.0
+    size_bias: float = 12.0
     prefetch: int = 1
     prefetch_backlog: float = 0.5
     eject_failures: float = 0.5
--- a/onyxfork/systems/membership.py
+++ b/onyxfork/systems/membership.py
@@ -25,6 +25,8 @@
 ]
 
 HOLD_LOST_S = 10.0
+FLAP_WINDOW_S = 60.0
+FLAP_RESTARTS = 3
 KEY_SKEW_MS = 2000
 
 
@@ -47,6 +49,7 @@
     if worker is not None and worker.incarnation != led.incarnation:
         worker_lost(state, worker, "the agent restarted", now)
         worker = None
+    restarts = note_restart(state, node.name, led.incarnation, now)
     if worker is None:
         worker = Worker(
             name=node.name,
@@ -59,6 +62,7 @@
             incarnation=led.incarnation,
         )
         state.workers[node.name] = worker
+        damp(state, worker, restarts, now)
     state.index.remove(worker)
     if worker.state in ("serving", "leaving", "lost"):
         worker.state = "leaving" if led.leaving or not led.slots else "serving"
@@ -69,6 +73,27 @@
     return worker
 
 
+def note_restart(state, name, incarnation, now):
+    """Note an incarnation of a worker; return how many were new within the last while."""
+    seen = state.restarts.setdefault(name, {})
+    seen.setdefault(incarnation, now)
+    for known, at in list(seen.items()):
+        if now - at > FLAP_WINDOW_S and known != incarnation:
+            del seen[known]
+    return len(seen) - 1
+
+
+def damp(state, worker, restarts, now):
+    """Keep a worker that restarts again and again out for a time that doubles."""
+    if restarts < FLAP_RESTARTS:
+        return
+    tuning = state.tuning
+    pause_s = tuning.eject_s * 2 ** (restarts - FLAP_RESTARTS)
+    worker.state = "ejected"
+    worker.ejected_until = now + min(pause_s, tuning.max_eject_s)
+    state.ejected[worker.name] = worker
+
+
 def note_known(state, worker, node, led):
     """Remember what a worker began for a former owner."""
     takeover = state.takeover
--- a/tests/systems/owners.py
+++ b/tests/systems/owners.py
@@ -41,11 +41,12 @@
             self.join(f"w{number}", slots, **sizes)
         self.sent = []
 
-    def join(self, name, slots, **sizes):
-        """Let a worker join."""
-        node = Node(name, "agent", "127.0.0.1", 1, "z", incarnation="i", slots=slots, **sizes)
+    def join(self, name, slots, incarnation="i", **sizes):
+        """Let a worker join, or come back under another incarnation."""
+        node = Node(name, "agent", "127.0.0.1", 1, "z", slots=slots, **sizes)
+        node.incarnation = incarnation
         self.state.catalogue.put("node", name, node)
-        led = Led("c", 1, "i", slots, False, [], 0.0, True, "serving")
+        led = Led("c", 1, incarnation, slots, False, [], 0.0, True, "serving")
         worker_led(self.state, node, led, self.now)
 
     def alter(self, table, key, **fields):
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -138,6 +138,19 @@
     assert owner.state.workers["w0"].slots == 4
 
 
+def test_flapping_worker_is_kept_out_for_a_while():
+    owner = Owner(workers=2, slots=2)
+    for number in range(3):
+        owner.now += 1.0
+        owner.join("w0", 2, incarnation=f"i{number}")
+    assert owner.state.workers["w0"].state == "ejected"
+    owner.submit(tasks=4)
+    assert {worker for worker, _ in owner.tick()} == {"w1"}
+    owner.now += 200.0
+    owner.join("w0", 2, incarnation="later")
+    assert owner.state.workers["w0"].state == "serving"
+
+
 def test_bad_tasks_do_not_empty_the_cell():
     owner = Owner(workers=6, slots=2)
     for _ in range(60):
