Memory of answers, outputs, lanes and takeovers is bounded; unknown teams are refused

Cause: read of the code for what grows: outputs of ended tasks were kept 420 s at an agent whatever their size, answers 300 s at an owner, lanes for every shape that callers name, findings of a takeover for ever; a team that does not exist escaped its quota; a submission answered while its claim was pending would have failed on adoption. Change: bounds by bytes and by outputs that keep the fact that something ran, idle lanes dropped at 10,000, a takeover forgotten when its keys have expired, unknown teams refused.

--- a/onyxfork/daemons/agent.py
+++ b/onyxfork/daemons/agent.py
@@ -184,7 +184,13 @@
         outcome = await self.upstream.run(task)
         now = self.clock.now()
         result = execution.finish(
-            self.state, key, outcome.outcome.value, outcome.output, outcome.reason, now
+            self.state,
+            key,
+            outcome.outcome.value,
+            outcome.output,
+            outcome.reason,
+            now,
+            outcome.output_bytes,
         )
         labels = {"organisation": start.organisation, "class": start.job}
         self.metrics.run_ms.record(result.run_ms, labels)
--- a/onyxfork/entities/agent_tasks.py
+++ b/onyxfork/entities/agent_tasks.py
@@ -1,5 +1,6 @@
 """Tables of an agent: what it was asked to run and what became of it."""
 
+from collections import deque
 from heapq import heappush
 
 from attrs import define, field
@@ -52,18 +53,22 @@
         A task begins only while the owner's last proof is younger than this.
     retention_s : float
         How long ended tasks are remembered.
+    max_output_bytes : int
+        Outputs kept for an owner that returns; beyond it the oldest are dropped.
     """
 
     incarnation: str
     slots: int = 0
     fresh_s: float = 2.0
     retention_s: float = 420.0
-    result_bytes_s: float = 60.0
+    max_output_bytes: int = 32 * 1024 * 1024
     leaving: str | None = None
     lead: Leadership = field(factory=Leadership)
     tasks: dict[tuple[str, int], AgentTask] = field(factory=dict)
     queue: list[tuple[float, int, tuple[str, int]]] = field(factory=list)
     ended: list[tuple[float, tuple[str, int]]] = field(factory=list)
+    outputs: deque = field(factory=deque)
+    output_bytes: int = 0
     running: int = 0
     queued: int = 0
     sequence: int = 0
--- a/onyxfork/entities/dispatch.py
+++ b/onyxfork/entities/dispatch.py
@@ -1,6 +1,6 @@
 """The tables from which the owner of cells decides."""
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from random import Random
 
 from attrs import define, field
@@ -50,6 +50,8 @@
     ----------
     at_wall_ms : int or None
         When this process became owner after another one; None when there was none before.
+    ends_at : float
+        Monotonic seconds after which every key from before the takeover has expired.
     unaccounted : set of str
         Workers that have not yet told what they started for the former owner.
     vanished : set of str
@@ -63,6 +65,7 @@
     """
 
     at_wall_ms: int | None = None
+    ends_at: float = float("inf")
     unaccounted: set[str] = field(factory=set)
     vanished: set[str] = field(factory=set)
     latest_restart_ms: int = 0
@@ -109,6 +112,8 @@
     parked_limits: dict[str, Limit] = field(factory=dict)
     held: list[tuple[float, int, Lane]] = field(factory=list)
     takeover: Takeover = field(factory=lambda: Takeover())
+    kept: deque = field(factory=deque)
+    kept_outputs: int = 0
     waiting_tasks: int = 0
     waiting_ms: dict[str, float] = field(factory=lambda: defaultdict(float))
     outbox: Outbox = field(factory=Outbox)
--- a/onyxfork/entities/tuning.py
+++ b/onyxfork/entities/tuning.py
@@ -14,8 +14,12 @@
     order_offset_s : dict
         Seconds by which a less urgent submission yields to a more urgent one that arrives later;
         finite, so that nothing starves.
+    size_bias : float
+        Larger work yields to smaller by this many times the time it would hold all slots.
     prefetch : int
         Tasks queued at an agent beyond its slots while much work waits.
+    prefetch_backlog : float
+        Waiting tasks over slots from which tasks are sent ahead.
     eject_failures : float
         Weighted share of failures above which a worker is ejected.
     max_ejected_share : float
@@ -26,6 +30,9 @@
         Bound on tasks waiting in this process.
     answer_retention_s : float
         How long answers are kept for resubmissions.
+    max_kept_outputs : int
+        Outputs of tasks kept in answers for resubmissions; beyond it the oldest answers are
+        dropped, and only that they were given is kept.
     lost_after_s : float
         A worker unreachable for this long is given up with everything outstanding on it.
     """
@@ -44,5 +51,6 @@
     slow_speed: float = 1.6
     max_waiting_tasks: int = 200_000
     answer_retention_s: float = 300.0
+    max_kept_outputs: int = 100_000
     lost_after_s: float = 8.0
     stop_min_ms: float = 50.0
--- a/onyxfork/entry/owner.py
+++ b/onyxfork/entry/owner.py
@@ -30,6 +30,7 @@
 log = logging.getLogger(__name__)
 
 READY_WITHIN_S = 1.5
+TAKEOVER_S = 420.0
 
 
 class CellOwner:
@@ -59,6 +60,7 @@
         )
         if cell.epoch > 1:
             self.state.takeover.at_wall_ms = self.clock.wall_ms()
+            self.state.takeover.ends_at = self.clock.now() + TAKEOVER_S
         self.links = {}
         self.waiters = {}
         self.tick_due = False
--- a/onyxfork/systems/admission.py
+++ b/onyxfork/systems/admission.py
@@ -58,6 +58,9 @@
     if job is None:
         path = f"{request.organisation}/{request.service}/{request.job}"
         return Err(Refusal(Code.UNKNOWN_JOB, f"no job {path}"))
+    if request.team and state.catalogue.find("team", request.organisation, request.team) is None:
+        path = f"{request.organisation}/{request.team}"
+        return Err(Refusal(Code.UNKNOWN_JOB, f"no team {path}"))
     lane = lane_for(state, request, job)
     expected = [expected_ms(state, request, index) for index in range(len(request.inputs))]
     refusal = find_refusal(state, request, lane, expected, now) if checked else None
--- a/onyxfork/systems/execution.py
+++ b/onyxfork/systems/execution.py
@@ -14,6 +14,8 @@
 from collections import defaultdict
 from heapq import heappop
 
+from attrs import evolve
+
 from onyxfork.entities.agent_tasks import AgentTask, Leadership
 from onyxfork.entities.outcomes import Outcome
 from onyxfork.messages import KnownSubmission, Led, TaskResult
@@ -174,7 +176,7 @@
     return begun
 
 
-def finish(state, key, outcome, output, reason, now):
+def finish(state, key, outcome, output, reason, now, output_bytes=0):
     """Record the end of a running task.
 
     Parameters
@@ -188,6 +190,8 @@
         JSON value.
     reason : str or None
     now : float
+    output_bytes : int
+        How much memory the output takes, about.
 
     Returns
     -------
@@ -211,9 +215,24 @@
     task.ended_at = now
     state.running -= 1
     state.ended.append((now, key))
+    keep_output(state, task, output_bytes)
     return result
 
 
+def keep_output(state, task, output_bytes):
+    """Keep an output within the bound, dropping the oldest ones; that tasks ran is kept."""
+    state.outputs.append((task, output_bytes))
+    state.output_bytes += output_bytes
+    while state.output_bytes > state.max_output_bytes and len(state.outputs) > 1:
+        oldest, size = state.outputs.popleft()
+        state.output_bytes -= size
+        if oldest.result.outcome == Outcome.DONE.value:
+            reason = "it ran, but its output is no longer kept"
+            oldest.result = evolve(
+                oldest.result, outcome=Outcome.LOST.value, output=None, reason=reason
+            )
+
+
 def revoke(state, ids, reason, now):
     """Take back tasks that have not started.
 
@@ -319,4 +338,6 @@
         if task is not None and task.state == "ended" and task.ended_at <= limit:
             del state.tasks[key]
     del state.ended[:count]
+    while state.outputs and state.outputs[0][0].ended_at <= limit:
+        state.output_bytes -= state.outputs.popleft()[1]
     return count
--- a/onyxfork/systems/intake.py
+++ b/onyxfork/systems/intake.py
@@ -8,7 +8,7 @@
 from attrs import define
 from result import Err, Ok
 
-from onyxfork.entities.outcomes import Code, Refusal
+from onyxfork.entities.outcomes import Code, Refusal, State
 from onyxfork.entities.submissions import Submission
 from onyxfork.systems.admission import admit, find_known, release_claimed
 from onyxfork.systems.membership import (
@@ -85,6 +85,8 @@
     submission : Submission
     now : float
     """
+    if submission.state is not State.RUNNING:
+        return
     if is_ambiguous(state, id_time_ms(submission.name)):
         state.takeover.held.append(submission.name)
         return
--- a/onyxfork/systems/lifetimes.py
+++ b/onyxfork/systems/lifetimes.py
@@ -58,4 +58,6 @@
     """Forget submissions answered longer ago than the retention."""
     while state.retained and state.retained[0][0] <= now:
         _, name = heappop(state.retained)
-        state.submissions.pop(name, None)
+        dropped = state.submissions.pop(name, None)
+        if state.kept and state.kept[0] is dropped:
+            state.kept_outputs -= len(state.kept.popleft().answer.outputs)
--- a/onyxfork/systems/membership.py
+++ b/onyxfork/systems/membership.py
@@ -2,6 +2,7 @@
 
 from heapq import heappop, heappush
 
+from onyxfork.entities.dispatch import Takeover
 from onyxfork.entities.outcomes import Code, Outcome, State
 from onyxfork.entities.workers import Worker
 from onyxfork.messages import TaskId, TaskResult
@@ -22,6 +23,7 @@
     "may_have_begun",
     "adopt",
     "settle_takeover",
+    "end_takeover",
 ]
 
 HOLD_LOST_S = 10.0
@@ -239,6 +241,12 @@
     return len(found)
 
 
+def end_takeover(state, now):
+    """Forget what a former owner had begun once its keys have all expired."""
+    if now >= state.takeover.ends_at:
+        state.takeover = Takeover()
+
+
 def settle_takeover(state, now):
     """Decide the submissions held back until every worker was accounted for.
 
--- a/onyxfork/systems/queueing.py
+++ b/onyxfork/systems/queueing.py
@@ -16,6 +16,8 @@
     "unpark",
 ]
 
+MAX_LANES = 10_000
+
 
 def lane_for(state, request, job):
     """Return the lane of a request, made when it is the first of its kind."""
@@ -27,12 +29,21 @@
     key = (request.organisation, request.service, request.job, request.team, shape)
     lane = state.lanes.get(key)
     if lane is None:
+        if len(state.lanes) >= MAX_LANES:
+            drop_idle_lanes(state)
         lane = Lane(key, job.urgency, shape, limits_of(state, request))
         state.lanes[key] = lane
     lane.urgency = job.urgency
     return lane
 
 
+def drop_idle_lanes(state):
+    """Forget lanes in which nothing waits; callers name shapes, so there is no end of them."""
+    for key, lane in list(state.lanes.items()):
+        if lane.head() is None and lane.parked_on is None:
+            del state.lanes[key]
+
+
 def queue_submission(state, submission):
     """Let the waiting tasks of a submission be placed."""
     lane = submission.lane
--- a/onyxfork/systems/results.py
+++ b/onyxfork/systems/results.py
@@ -146,11 +146,31 @@
     )
     submission.answered_at = now
     submission.outputs = []
+    submission.request.inputs = []
+    keep_answer(state, submission)
     heappush(state.retained, (now + state.tuning.answer_retention_s, submission.name))
     stop_outstanding(state, submission)
     state.outbox.answered.append(submission)
 
 
+def keep_answer(state, submission):
+    """Keep an answer within the bound; of the oldest only that they were given is kept."""
+    answered = submission.answer
+    if not answered.outputs:
+        return
+    state.kept.append(submission)
+    state.kept_outputs += len(answered.outputs)
+    while state.kept_outputs > state.tuning.max_kept_outputs and len(state.kept) > 1:
+        oldest = state.kept.popleft()
+        state.kept_outputs -= len(oldest.answer.outputs)
+        oldest.answer = Answered(
+            submission=oldest.name,
+            state=State.FAILED,
+            code=Code.ALREADY_RAN,
+            reason="it ended as complete; the answer is no longer kept",
+        )
+
+
 def has_begun(submission):
     """Return whether any task of a submission may have started or may yet start."""
     return bool(submission.began or submission.sent or submission.may_have_begun)
--- a/onyxfork/systems/tick.py
+++ b/onyxfork/systems/tick.py
@@ -2,7 +2,7 @@
 
 from onyxfork.systems.ejection import return_ejected
 from onyxfork.systems.lifetimes import drop_retained, expire_deadlines, next_deadline
-from onyxfork.systems.membership import release_held, settle_takeover
+from onyxfork.systems.membership import end_takeover, release_held, settle_takeover
 from onyxfork.systems.placement import place
 
 __all__ = ["tick", "next_wake"]
@@ -28,6 +28,7 @@
     release_held(state, now)
     return_ejected(state, now)
     settle_takeover(state, now)
+    end_takeover(state, now)
     if may_place:
         place(state, now)
     return state.take_outbox()
--- a/onyxfork/upstreams/client.py
+++ b/onyxfork/upstreams/client.py
@@ -4,6 +4,7 @@
 other loss of the answer leaves open whether it ran.
 """
 
+import json
 from abc import ABC, abstractmethod
 from typing import Any
 
@@ -24,6 +25,7 @@
     outcome: Outcome
     output: Any = None
     reason: str | None = None
+    output_bytes: int = 0
 
 
 @define(frozen=True)
@@ -120,9 +122,15 @@
 
 async def read_outcome(response):
     """Return the outcome in an upstream's answer."""
-    body = await response.json()
+    raw = await response.read()
+    if len(raw) > MAX_OUTPUT_BYTES:
+        reason = f"the output of {len(raw)} bytes exceeds {MAX_OUTPUT_BYTES}"
+        return TaskOutcome(Outcome.FAILED, reason=reason)
+    body = json.loads(raw)
+    if not isinstance(body, dict):
+        return TaskOutcome(Outcome.FAILED, reason="the upstream's answer is not an object")
     if response.status == 200:
-        return TaskOutcome(Outcome.DONE, body.get("output"))
+        return TaskOutcome(Outcome.DONE, body.get("output"), output_bytes=len(raw))
     if response.status == 410:
         return TaskOutcome(Outcome.STOPPED, reason=body.get("error", "stopped"))
     if response.status == 503 and body.get("not_run") is True:
--- a/tests/systems/test_dispatching.py
+++ b/tests/systems/test_dispatching.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from onyxfork.entities.catalogue import Job, Organisation
+from onyxfork.entities.catalogue import Job, Organisation, Team
 from onyxfork.entities.outcomes import Refusal, State
 from onyxfork.entities.tuning import Tuning
 from onyxfork.entities.workers import Shape
@@ -39,6 +39,7 @@
     owner = Owner(workers=1, slots=1)
     catalogue = owner.state.catalogue
     catalogue.put("organisation", "p", Organisation("p", weight=1.0))
+    catalogue.put("team", "p/t", Team("t", "p"))
     catalogue.put("job", "p/s/check", Job("check", "s", "p", urgency="urgent"))
     for _ in range(20):
         owner.submit(org="o", deadline_s=100.0)
@@ -187,6 +188,24 @@
     assert owner.state.waiting_tasks == 0
 
 
+def test_old_answers_are_dropped_but_never_run_again():
+    owner = Owner(workers=1, slots=4, tuning=Tuning(prefetch=0, max_kept_outputs=6))
+    first = owner.submit(tasks=4)
+    owner.tick()
+    owner.end_all()
+    second = owner.submit(tasks=4)
+    owner.tick()
+    owner.end_all()
+    assert first.answer.code == "already-ran" and second.answer.code == "complete"
+    assert owner.state.submissions[first.name] is first
+
+
+def test_unknown_team_is_refused():
+    owner = Owner()
+    del owner.state.catalogue.tables["team"]["o/t"]
+    assert owner.submit().reason == "no team o/t"
+
+
 @pytest.mark.parametrize("name", sorted(POLICIES))
 def test_every_policy_completes_everything(name):
     owner = Owner(workers=3, slots=2, policy=policy_named(name))
--- a/tests/systems/test_execution.py
+++ b/tests/systems/test_execution.py
@@ -107,6 +107,21 @@
     assert running == [("a", 0)]
 
 
+def test_kept_outputs_are_bounded_but_a_task_never_runs_again():
+    state = make_state(slots=1)
+    state.max_output_bytes = 100
+    for number in range(3):
+        execution.accept(state, start(f"s{number}"), 0.0)
+        begun(state)
+        execution.finish(state, (f"s{number}", 0), "done", "x", None, 0.5, 60)
+    (reply,) = execution.accept(state, start("s0", attempt=9), 0.6)
+    assert reply.outcome == "lost" and "no longer kept" in reply.reason
+    (reply,) = execution.accept(state, start("s2", attempt=9), 0.6)
+    assert reply.outcome == "done"
+    execution.forget(state, 0.5 + state.retention_s)
+    assert state.output_bytes == 0
+
+
 def test_memory_is_bounded_by_retention():
     state = make_state(slots=1)
     for number in range(100):
