--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/ready
 
-.PHONY: demo test check scenarios format clean
+.PHONY: demo test check scenarios reference format clean
 
 demo: $(READY)
 	$(BIN)/onyxfork demo
@@ -18,6 +18,9 @@
 scenarios: $(READY)
 	ONYXFORK_SCENARIOS=all $(BIN)/pytest tests/scenarios
 
+reference: $(READY)
+	$(BIN)/python docs/make_reference.py
+
 format: $(READY)
 	-$(BIN)/ruff check --quiet --fix onyxfork tests
 	$(BIN)/black --quiet onyxfork tests
