--- a/onyxfork/entities/submissions.py
+++ b/onyxfork/entities/submissions.py
@@ -73,6 +73,8 @@
         Run time of each task in milliseconds, as estimated on arrival.
     began : int
         Tasks that may have started; nothing of the submission is "not run" once it is not 0.
+    placed_free : int or None
+        Free slots of the worker that the last task was sent to.
     may_have_begun : bool
         Whether tasks may have started under a former owner, which is not known yet.
     """
@@ -94,7 +96,7 @@
     answer: Answered | None = None
     answered_at: float = 0.0
     excluded: dict[int, str] = field(factory=dict)
-    placed_because: str = ""
+    placed_free: int | None = None
     waits_because: str = ""
 
     @property
--- a/onyxfork/entities/workers.py
+++ b/onyxfork/entities/workers.py
@@ -145,30 +145,41 @@
 
     def add(self, worker):
         """Put a worker in, or move it to the bucket of its current free slots."""
-        place = (worker.capacity, worker.free, worker.slots)
-        before = self.places.get(worker.name)
-        if before == place:
-            return
-        if before is not None:
-            self.remove(worker)
-        buckets = self.classes.setdefault(worker.capacity, {})
-        buckets.setdefault(worker.free, {})[worker.name] = worker
-        self.places[worker.name] = place
-        self.total_slots += worker.slots
+        free, slots = worker.free, worker.slots
+        place = self.places.get(worker.name)
+        if place is None:
+            buckets = self.classes.setdefault(worker.capacity, {})
+        else:
+            buckets, before, slots_before = place
+            if before == free and slots_before == slots:
+                return
+            self.leave_bucket(buckets, before, worker)
+            self.total_slots -= slots_before
+        bucket = buckets.get(free)
+        if bucket is None:
+            bucket = buckets[free] = {}
+        bucket[worker.name] = worker
+        self.places[worker.name] = (buckets, free, slots)
+        self.total_slots += slots
+
+    @staticmethod
+    def leave_bucket(buckets, free, worker):
+        """Take a worker out of one bucket, and drop the bucket when it is empty."""
+        bucket = buckets[free]
+        del bucket[worker.name]
+        if not bucket:
+            del buckets[free]
 
     def remove(self, worker):
         """Take a worker out; unknown workers are ignored."""
         place = self.places.pop(worker.name, None)
         if place is None:
             return
-        capacity, free, slots = place
-        buckets = self.classes[capacity]
-        del buckets[free][worker.name]
-        if not buckets[free]:
-            del buckets[free]
-        if not buckets:
-            del self.classes[capacity]
+        buckets, free, slots = place
+        self.leave_bucket(buckets, free, worker)
         self.total_slots -= slots
+        if not buckets:
+            self.classes = {key: kept for key, kept in self.classes.items() if kept}
 
     def best(self, shape, least_free):
         """Return the worker with the most free slots on which a task fits.
--- a/onyxfork/entry/reports.py
+++ b/onyxfork/entry/reports.py
@@ -10,12 +10,19 @@
 
 def submission_rows(state, now, limit):
     """Return rows on submissions, running and lately answered."""
-    return [
-        submission_row(submission, now) for submission in islice(state.submissions.values(), limit)
-    ]
+    policy = state.policy.name
+    chosen = islice(state.submissions.values(), limit)
+    return [submission_row(submission, policy, now) for submission in chosen]
+
+
+def place_reason(submission, policy):
+    """Return in words why the last task went to its worker, empty when none was sent."""
+    if submission.placed_free is None:
+        return ""
+    return f"{submission.placed_free} free slots, {policy}"
 
 
-def submission_row(submission, now):
+def submission_row(submission, policy, now):
     """Return the row of one submission."""
     request, answered = submission.request, submission.answer
     running = submission.state is State.RUNNING
@@ -33,7 +40,7 @@
         "waiting": len(submission.waiting),
         "workers": ",".join(sorted(set(submission.sent.values()))) if running else "",
         "age_ms": round((since - submission.arrived) * 1000),
-        "why_there": submission.placed_because,
+        "why_there": place_reason(submission, policy),
         "why_waiting": wait_reason(submission),
         "why": answered.reason or "" if answered is not None else "",
     }
--- a/onyxfork/messages/connection.py
+++ b/onyxfork/messages/connection.py
@@ -32,8 +32,8 @@
 class Timing:
     """When a connection is pinged, suspected and given up, in seconds."""
 
-    heartbeat_s: float = 0.5
-    suspect_s: float = 1.2
+    heartbeat_s: float = 0.6
+    suspect_s: float = 1.3
     silent_s: float = 2.0
 
 
@@ -208,14 +208,17 @@
 
     async def keep_alive(self):
         """Ping a quiet peer and close the connection when the peer has gone silent."""
-        interval = self.timing.heartbeat_s / 2
+        check_s = self.timing.heartbeat_s / 2
         while self.is_open:
             before = self.loop.time()
-            await asyncio.sleep(interval)
+            ping_at = self.sent_at + self.timing.heartbeat_s
+            pause_s = min(check_s, max(0.0, ping_at - before))
+            await asyncio.sleep(pause_s)
             now = self.loop.time()
-            if now - before > self.timing.suspect_s:
-                self.liveness.heard_at += now - before - interval
-            if now - self.sent_at >= self.timing.heartbeat_s - interval / 2:
+            if now - before - pause_s > self.timing.suspect_s:
+                self.liveness.heard_at += now - before - pause_s
+            if now >= self.sent_at + self.timing.heartbeat_s:
+                self.sent_at = now
                 self.send(Ping(clock=now, echo=self.echo))
             if self.liveness.check(now) == "silent":
                 self.close("the peer has gone silent")
--- a/onyxfork/settings.py
+++ b/onyxfork/settings.py
@@ -95,8 +95,8 @@
 class TimingSettings:
     """Heartbeats and limits of silence, in seconds."""
 
-    heartbeat_s: float = field(default=0.5, validator=POSITIVE)
-    suspect_s: float = field(default=1.2, validator=POSITIVE)
+    heartbeat_s: float = field(default=0.6, validator=POSITIVE)
+    suspect_s: float = field(default=1.3, validator=POSITIVE)
     silent_s: float = field(default=2.0, validator=POSITIVE)
 
 
--- a/onyxfork/systems/admission.py
+++ b/onyxfork/systems/admission.py
@@ -17,6 +17,7 @@
 __all__ = ["admit", "release_claimed", "find_known"]
 
 MIN_RETRY_MS = 100
+NEGLIGIBLE_MS = 1.0
 
 
 def find_known(state, request):
@@ -137,7 +138,7 @@
     slots = max(1, state.index.total_slots)
     ahead_ms = waiting_ahead_ms(state, lane.urgency)
     needed_ms = max(work_ms / slots, longest_ms)
-    if ahead_ms > 0:
+    if ahead_ms > NEGLIGIBLE_MS:
         needed_ms = (ahead_ms + work_ms) / slots + longest_ms
     if needed_ms > left_ms:
         return late_refusal("the queue", needed_ms, left_ms)
@@ -158,7 +159,9 @@
 def limit_needs_ms(limit, count, work_ms, longest_ms):
     """Return how long a submission would take under one limit alone, in milliseconds."""
     ahead_ms = limit.waiting_ms
-    by_running = (ahead_ms + work_ms) / limit.max_running + (longest_ms if ahead_ms else 0.0)
+    by_running = (ahead_ms + work_ms) / limit.max_running + (
+        longest_ms if ahead_ms > NEGLIGIBLE_MS else 0.0
+    )
     by_starts = (limit.waiting + count) / limit.starts_per_s * 1000
     return max(by_running, by_starts + longest_ms if by_starts else 0.0)
 
--- a/onyxfork/systems/estimates.py
+++ b/onyxfork/systems/estimates.py
@@ -35,12 +35,17 @@
     float
         Actual over expected run time, as it was expected before.
     """
-    expected = expected_ms(state, request, index)
-    learned = state.run_times.setdefault(job_key(request), RunTimes(mean_ms=run_ms))
+    key = job_key(request)
+    declared = request.run_ms[index]
+    learned = state.run_times.get(key)
+    if learned is None:
+        learned = state.run_times[key] = RunTimes(mean_ms=run_ms)
+        expected = declared or DEFAULT_MS
+    else:
+        expected = declared * learned.ratio if declared > 0 else learned.mean_ms
     learned.samples += 1
     weight = max(LEARN_WEIGHT, 1 / learned.samples)
     learned.mean_ms += weight * (run_ms - learned.mean_ms)
-    declared = request.run_ms[index]
     if declared > 0:
         ratio = min(run_ms / declared, MAX_RATIO)
         learned.ratio += weight * (ratio - learned.ratio)
--- a/onyxfork/systems/placement.py
+++ b/onyxfork/systems/placement.py
@@ -144,7 +144,7 @@
     request = submission.request
     submission.attempts[index] += 1
     submission.sent[index] = worker.name
-    submission.placed_because = f"{worker.free} free slots, {state.policy.name}"
+    submission.placed_free = worker.free
     worker.take((submission.name, index), submission)
     reindex(state, worker)
     for limit in submission.lane.limits:
--- a/onyxfork/systems/queueing.py
+++ b/onyxfork/systems/queueing.py
@@ -73,27 +73,25 @@
 
 def add_waiting(state, submission):
     """Count all waiting tasks of a submission."""
-    for index in submission.waiting:
-        count_in(state, submission, index)
+    work_ms = sum(submission.expected[index] for index in submission.waiting)
+    count(state, submission.lane, len(submission.waiting), work_ms)
 
 
 def count_in(state, submission, index):
     """Count one task as waiting."""
-    count_one(state, submission, index, 1)
+    count(state, submission.lane, 1, submission.expected[index])
 
 
 def count_out(state, submission, index):
     """Count one task as no longer waiting."""
-    count_one(state, submission, index, -1)
+    count(state, submission.lane, -1, -submission.expected[index])
 
 
-def count_one(state, submission, index, sign):
-    """Add or remove one task from every sum."""
-    lane = submission.lane
-    work_ms = sign * submission.expected[index]
-    lane.waiting_tasks += sign
-    state.waiting_tasks += sign
-    state.waiting_ms[lane.urgency] = max(0.0, state.waiting_ms[lane.urgency] + work_ms)
+def count(state, lane, tasks, work_ms):
+    """Add to every sum over what waits."""
+    lane.waiting_tasks += tasks
+    state.waiting_tasks += tasks
+    state.waiting_ms[lane.urgency] += work_ms
     for limit in lane.limits:
-        limit.waiting += sign
-        limit.waiting_ms = max(0.0, limit.waiting_ms + work_ms)
+        limit.waiting += tasks
+        limit.waiting_ms += work_ms
