Messages are structured without a call for plain fields

Cause: a profile of the entry showed 0.73 of 5 s in structuring results, one checking call a field. Change: fields whose value is of the declared primitive type are taken as they are; an error finds its field afterwards; unstructuring reads all fields at once.

--- a/onyxfork/messages/codec.py
+++ b/onyxfork/messages/codec.py
@@ -6,6 +6,7 @@
 through hooks of a cattrs converter.
 """
 
+from operator import attrgetter
 from types import NoneType, UnionType
 from typing import Any, Union, get_args, get_origin
 
@@ -121,25 +122,46 @@
 
 
 def make_structure(cls):
-    """Build the cattrs hook that structures `cls` from an array of its fields."""
+    """Build the cattrs hook that structures `cls` from an array of its fields.
+
+    Values that are of a primitive field's very type, most of them, need no call to check them.
+    """
     resolved = attrs.fields(attrs.resolve_types(cls))
-    fields = [(field.name, checker(field.type)) for field in resolved if field.init]
-    required = sum(1 for field in resolved if field.init and field.default is attrs.NOTHING)
+    fields = [field for field in resolved if field.init]
+    plans = [(plain_type(field.type), checker(field.type)) for field in fields]
+    required = sum(1 for field in fields if field.default is attrs.NOTHING)
 
     def structure_fields(value, _):
-        if type(value) is not list or not required <= len(value) <= len(fields):
-            raise ProtocolError(f"{cls.__name__}: expected an array of {len(fields)} fields")
-        values = []
-        for (name, check), item in zip(fields, value, strict=False):
-            try:
-                values.append(check(item))
-            except ProtocolError as error:
-                raise ProtocolError(f"{cls.__name__}.{name}: {error}") from None
-        return cls(*values)
+        if type(value) is not list or not required <= len(value) <= len(plans):
+            raise ProtocolError(f"{cls.__name__}: expected an array of {len(plans)} fields")
+        try:
+            return cls(
+                *[
+                    item if type(item) is plain else check(item)
+                    for item, (plain, check) in zip(value, plans, strict=False)
+                ]
+            )
+        except ProtocolError as error:
+            raise ProtocolError(name_field(cls, fields, plans, value, error)) from None
 
     return structure_fields
 
 
+def plain_type(kind):
+    """Return the type whose values need no further check, or None."""
+    return kind if kind in PRIMITIVES else None
+
+
+def name_field(cls, fields, plans, value, error):
+    """Return the text of an error with the field that it is about."""
+    for field, (_, check), item in zip(fields, plans, value, strict=False):
+        try:
+            check(item)
+        except ProtocolError as found:
+            return f"{cls.__name__}.{field.name}: {found}"
+    return str(error)
+
+
 def flattener(kind):
     """Return a function that unstructures one value of type `kind`, or None for no change."""
     if is_optional(kind):
@@ -160,12 +182,17 @@
     """Build the cattrs hook that turns `cls` into an array of its fields."""
     resolved = attrs.fields(attrs.resolve_types(cls))
     fields = [(field.name, flattener(field.type)) for field in resolved if field.init]
+    nested = [(at, flatten) for at, (_, flatten) in enumerate(fields) if flatten is not None]
+    names = [name for name, _ in fields]
+    if not names:
+        return lambda value: []
+    read = attrgetter(*names)
 
     def unstructure_fields(value):
-        return [
-            flatten(getattr(value, name)) if flatten else getattr(value, name)
-            for name, flatten in fields
-        ]
+        values = [read(value)] if len(names) == 1 else list(read(value))
+        for at, flatten in nested:
+            values[at] = flatten(values[at])
+        return values
 
     return unstructure_fields
 
