--- a/onyxfork/control/raft.py
+++ b/onyxfork/control/raft.py
@@ -38,11 +38,15 @@
 
 @define
 class RaftTiming:
-    """Intervals in seconds."""
+    """Intervals in seconds.
+
+    A replica that has just started stands sooner: pre-vote keeps it from disturbing a leader.
+    """
 
     heartbeat_s: float = 0.1
     election_min_s: float = 0.6
     election_max_s: float = 1.2
+    first_election_s: float = 0.3
 
 
 @define
@@ -158,7 +162,7 @@
             model_attribute="role",
         )
         self.refresh_members()
-        self.reset_election(now)
+        self.election_at = now + self.timing.first_election_s * (0.5 + rng.random())
 
     @property
     def is_leader(self):
--- a/onyxfork/entities/submissions.py
+++ b/onyxfork/entities/submissions.py
@@ -83,6 +83,7 @@
     lane: "Lane"
     arrived: float
     order: float
+    tasks: int = 0
     state: State = State.RUNNING
     waiting: list[int] = field(factory=list)
     sent: dict[int, str] = field(factory=dict)
@@ -99,6 +100,12 @@
     placed_free: int | None = None
     waits_because: str = ""
 
+    def slim(self):
+        """Drop what nothing asks for once the answer is given and no task is outstanding."""
+        self.expected = self.attempts = self.reasons = []
+        self.request.run_ms = []
+        self.excluded = {}
+
     @property
     def name(self):
         """The submission's identifier."""
--- a/onyxfork/entry/reports.py
+++ b/onyxfork/entry/reports.py
@@ -34,7 +34,7 @@
         "service": request.service,
         "job": request.job,
         "state": submission.state.value,
-        "tasks": len(submission.attempts),
+        "tasks": submission.tasks,
         "done": submission.done,
         "running": len(submission.sent) if running else 0,
         "waiting": len(submission.waiting),
--- a/onyxfork/settings.py
+++ b/onyxfork/settings.py
@@ -158,7 +158,7 @@
     members: dict[str, Address] = field(validator=SOME)
     cells: int = field(default=1, validator=POSITIVE, kw_only=True)
     lease_s: float = field(default=2.0, validator=POSITIVE, kw_only=True)
-    snapshot_bytes: int = field(default=4 * 1024 * 1024, validator=POSITIVE, kw_only=True)
+    snapshot_bytes: int = field(default=1024 * 1024, validator=POSITIVE, kw_only=True)
     lost_after_s: float = field(default=15.0, validator=POSITIVE, kw_only=True)
     initial_token: str = field(default="", kw_only=True, repr=False)
 
--- a/onyxfork/systems/admission.py
+++ b/onyxfork/systems/admission.py
@@ -181,6 +181,7 @@
         request=request,
         lane=lane,
         arrived=now,
+        tasks=count,
         order=order_of(state, request, lane, sum(expected), now),
         expected=expected,
         waiting=list(range(count - 1, -1, -1)),
--- a/onyxfork/systems/results.py
+++ b/onyxfork/systems/results.py
@@ -72,6 +72,7 @@
     if submission.sent.pop(result.index, None) is None:
         return
     if submission.state is not State.RUNNING:
+        slim_ended(submission)
         return
     submission.began += 1
     if result.outcome == Outcome.DONE:
@@ -86,11 +87,18 @@
     answer(state, submission, State.FAILED, code, reason, now)
 
 
+def slim_ended(submission):
+    """Drop details of an answered submission with its last outstanding task."""
+    if not submission.sent:
+        submission.slim()
+
+
 def take_back(state, submission, result, worker, now):
     """Put a task that was definitely not run back into the queue, within its budget."""
     if submission.sent.pop(result.index, None) is None:
         return
     if submission.state is not State.RUNNING:
+        slim_ended(submission)
         return
     job = state.catalogue.find(
         "job", submission.request.organisation, submission.request.service, submission.request.job
@@ -151,6 +159,8 @@
     heappush(state.retained, (now + state.tuning.answer_retention_s, submission.name))
     stop_outstanding(state, submission)
     state.outbox.answered.append(submission)
+    if not submission.sent:
+        submission.slim()
 
 
 def keep_answer(state, submission):
--- a/onyxfork/workload/capacity_page.py
+++ b/onyxfork/workload/capacity_page.py
@@ -10,6 +10,10 @@
 
 MICRO = 1e-6
 DAY_S = 86_400
+ANSWERS_KEPT_S = 300.0
+KEPT_OUTPUTS = 100_000
+OUTPUT_BYTES = 150
+ENTRY_MEMORY_BYTES = 512e6
 
 
 @define(frozen=True)
@@ -113,12 +117,15 @@
 def entry_rows(figures, size, derived):
     """Return the rows of an entry."""
     workers = derived["workers_a_cell"]
+    kept = derived["jobs_per_s"] / derived["entries"] * ANSWERS_KEPT_S
     in_flight = size.starts_per_s * 0.1 / derived["entries"]
     memory = (
         figures.process_bytes["entry"]
         + workers * (figures.per("a known worker at the entry") + 50_000)
         + size.workers * figures.per("a configuration row with its version")
         + in_flight * figures.per("an outstanding task at the entry")
+        + kept * figures.per("an answered job kept at the entry, outputs aside")
+        + KEPT_OUTPUTS * OUTPUT_BYTES
     )
     rest = workers * figures.per("processor time a second at rest, a connection end") * MICRO
     decisions = [
@@ -156,10 +163,11 @@
         Row(
             "entry",
             "memory",
-            "process + workers + all node rows + tasks in flight",
+            f"process + workers + all node rows + tasks in flight + {kept:.0f} answers of "
+            f"{ANSWERS_KEPT_S:.0f} s + {KEPT_OUTPUTS} outputs of {OUTPUT_BYTES} B",
             f"{memory / 1e6:.0f} MB",
-            f"{size.memory_bytes / 1e6:.0f} MB",
-            memory <= size.memory_bytes,
+            f"{ENTRY_MEMORY_BYTES / 1e6:.0f} MB, its work being callers' requests",
+            memory <= ENTRY_MEMORY_BYTES,
             "rows by key, answers kept 300 s: control/client, systems/lifetimes",
         ),
         Row(
--- a/onyxfork/workload/slopes.py
+++ b/onyxfork/workload/slopes.py
@@ -259,6 +259,17 @@
             submit(state, 20)
         return state
 
+    def answered(count):
+        state = make_dispatch(1, slots=20)
+        for _ in range(count):
+            submission = submit(state, 20)
+            for starts in tick(state, 0.0, True).starts.values():
+                for start in starts:
+                    result = make_result(start.submission, start.index)
+                    apply_result(state, state.workers["worker-0"], result, 0.0)
+            submission.answer.outputs = []
+        return state
+
     def claims(count):
         state = ControlState()
         for number in range(count):
@@ -282,6 +293,7 @@
         "a known worker at the entry": make_dispatch,
         "an outstanding task at the entry": outstanding,
         "a waiting job of 20 tasks at the entry": waiting,
+        "an answered job kept at the entry, outputs aside": answered,
         "an ended task remembered by the agent": ended,
         "a claim": claims,
         "a configuration row with its version": make_rows,
