--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -248,16 +248,19 @@
     return EXIT_REFUSED if any(figures[name] for name in kept) else 0
 
 
-def bench_capacity(*, json: Path | None = None, page: Path | None = None):
+def bench_capacity(
+    *, json: Path | None = None, page: Path | None = None, slopes: Path | None = None
+):
     """Measure the slopes from which docs/CAPACITY.md is worked out.
 
     :param json: file for the slopes
     :param page: file for the page
+    :param slopes: file with slopes measured before, to write the page from without measuring
     """
     from onyxfork.workload.bench_capacity import run_bench_capacity
     from onyxfork.workload.capacity_page import write_page
 
-    measured = run_bench_capacity()
+    measured = loads(slopes.read_text()) if slopes is not None else run_bench_capacity()
     if json is not None:
         json.write_text(dumps(measured, indent=2) + "\n")
     if page is not None:
--- a/onyxfork/workload/capacity_page.py
+++ b/onyxfork/workload/capacity_page.py
@@ -23,7 +23,8 @@
 
     workers: int = 8_200
     starts_per_s: float = 690_000.0
-    slots: int = 8
+    slots: int = 32
+    mean_run_s: float = 0.3
     tasks_per_job: float = 20.0
     teams: int = 140
     zones: int = 8
@@ -119,7 +120,7 @@
     """Return the rows of an entry."""
     workers = derived["workers_a_cell"]
     kept = derived["jobs_per_s"] / derived["entries"] * ANSWERS_KEPT_S
-    in_flight = size.starts_per_s * 0.1 / derived["entries"]
+    in_flight = size.starts_per_s * size.mean_run_s / derived["entries"]
     memory = (
         figures.process_bytes["entry"]
         + workers * (figures.per("a known worker at the entry") + 50_000)
@@ -346,8 +347,7 @@
 def event_rows(figures, size, derived):
     """Return the rows of what happens now and then."""
     slots = size.workers * size.slots
-    busy_s = 0.0795
-    use = size.starts_per_s * busy_s / slots
+    use = size.starts_per_s * size.mean_run_s / slots
     zone = use * size.zones / (size.zones - 1)
     reconnects = derived["workers_a_cell"]
     storm = (size.workers / size.zones) * figures.per("a change for each follower") * MICRO
@@ -358,8 +358,8 @@
         Row(
             "event",
             "a zone lost, load on the rest",
-            f"{use:.0%} of slots at a mean run time of {busy_s * 1000:.0f} ms × "
-            f"{size.zones}/{size.zones - 1}",
+            f"{size.starts_per_s:.0f} × {size.mean_run_s:g} s ÷ ({size.workers} × {size.slots}) = "
+            f"{use:.0%} of slots, × {size.zones}/{size.zones - 1}",
             f"{zone:.0%} of the slots left",
             "100 %",
             zone <= 1.0,
@@ -442,7 +442,9 @@
         "Written by `onyxfork bench-capacity --page docs/CAPACITY.md`; do not edit by hand.",
         "",
         f"The size: {size.workers} workers, {size.starts_per_s:.0f} task starts a second in jobs "
-        f"of {size.tasks_per_job:.0f} tasks on average, {size.teams} teams, {size.regions} "
+        f"of {size.tasks_per_job:.0f} tasks of {size.mean_run_s:g} s on average, {size.slots} slots "
+        f"a worker (assumed: {size.starts_per_s / size.workers:.0f} starts a second of that length "
+        f"need {size.starts_per_s / size.workers * size.mean_run_s:.0f}), {size.teams} teams, {size.regions} "
         f"regions, {size.zones} availability zones, {size.changes_a_day:.0f} changes a day, "
         f"{size.control_instances} control instances.",
         "",
