--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -85,6 +85,7 @@
         self.leases = LeaseTable(settings.cells, settings.lease_s, self.raft.timing.election_max_s)
         self.executor = ThreadPoolExecutor(max_workers=1)
         self.wake = asyncio.Event()
+        self.known_role = self.raft.role
         self.waiting = {}
         self.read_waiters = {}
         self.next_token = 0
@@ -137,9 +138,20 @@
             self.raft.tick(self.clock.now())
             while self.raft.has_ready() and self.fatal is None:
                 await self.process(self.raft.take_ready())
+            self.note_role()
             self.keep_leases()
         raise StorageError(self.fatal)
 
+    def note_role(self):
+        """Log a change of role, and let go of what only a leader can answer."""
+        if self.raft.role == self.known_role:
+            return
+        if self.known_role == "leader":
+            self.fail_waiting()
+        self.known_role = self.raft.role
+        fields = {"role_now": self.raft.role, "term": self.raft.term, "leader": self.raft.leader}
+        log.info("role changed", extra=fields)
+
     async def process(self, ready):
         """Carry out one `Ready`."""
         self.send_all(ready.send_now)
--- a/onyxfork/control/replica_peers.py
+++ b/onyxfork/control/replica_peers.py
@@ -66,7 +66,10 @@
                         raise ProtocolError(f"{address} has another identity")
                     self.peers[connection.peer.incarnation] = connection
                     delay = RECONNECT_MIN_S
-                    await connection.run(self.on_message)
+                    try:
+                        await connection.run(self.on_message)
+                    finally:
+                        self.fail_forwarded(connection)
             except (OSError, OnyxforkError) as error:
                 log.debug("peer not reached", extra={"peer": identity, "reason": str(error)})
             await asyncio.sleep(delay * (0.5 + self.rng.random()))
--- a/onyxfork/control/replica_requests.py
+++ b/onyxfork/control/replica_requests.py
@@ -59,15 +59,29 @@
         token = self.next_token
         message.request = token
         future = asyncio.get_running_loop().create_future()
-        self.forwarded[token] = future
+        self.forwarded[token] = (connection, future)
         connection.send(message)
         try:
             async with asyncio.timeout(PROPOSE_TIMEOUT_S):
-                return await future
+                await asyncio.wait([future])
         except TimeoutError:
             return otherwise
         finally:
             self.forwarded.pop(token, None)
+        return otherwise if future.cancelled() else future.result()
+
+    def fail_forwarded(self, connection):
+        """Let requests go that were passed on over a connection that has ended."""
+        for passed_on, future in self.forwarded.values():
+            if passed_on is connection and not future.done():
+                future.cancel()
+
+    def fail_waiting(self):
+        """Let proposals go whose fate another leader decides; their senders ask again."""
+        waiting, self.waiting = self.waiting, {}
+        for _, future in waiting.values():
+            if not future.done():
+                future.set_result(None)
 
     async def read_index(self):
         """Return the index that a linearizable read has to wait for, as the leader.
@@ -112,7 +126,7 @@
 
     def resolve_forwarded(self, message):
         """Hand the leader's answer to whoever forwarded the request."""
-        future = self.forwarded.get(message.request)
+        _, future = self.forwarded.get(message.request, (None, None))
         if future is not None and not future.done():
             kept = isinstance(message, Renewed)
             answer = getattr(message, "result", getattr(message, "index", None))
--- a/onyxfork/workload/bench_capacity.py
+++ b/onyxfork/workload/bench_capacity.py
@@ -7,8 +7,10 @@
 import attrs
 
 from onyxfork.workload.deployment import BYGDELAG
+from onyxfork.workload.fitting import fit
 from onyxfork.workload.processes import run_processes
-from onyxfork.workload.slopes import fit, measure_slopes, reference_us
+from onyxfork.workload.slopes import measure_slopes
+from onyxfork.workload.slopes_entry import reference_us
 from onyxfork.workload.throughput import measure_throughput
 
 __all__ = ["run_bench_capacity"]
--- a/onyxfork/workload/processes.py
+++ b/onyxfork/workload/processes.py
@@ -210,16 +210,29 @@
         """Return whether every entry that runs would take requests."""
         for number in range(self.entries):
             name = f"entry-{number + 1}"
-            if not self.processes[name].is_running:
-                continue
-            try:
-                async with self.session.get(f"{self.url(name)}/health") as response:
-                    if response.status != 200:
-                        return False
-            except aiohttp.ClientError:
+            if self.processes[name].is_running and not await self.is_healthy(name):
                 return False
         return True
 
+    async def is_healthy(self, name):
+        """Return whether a process says that it is ready."""
+        try:
+            async with self.session.get(f"{self.url(name)}/health") as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def wait_for_health(self, name):
+        """Wait until every process that a name covers and that has a health page is ready."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + READY_TIMEOUT_S
+        names = [process.name for process in self.named(name)]
+        for one in (one for one in names if not one.endswith(".upstream")):
+            while not await self.is_healthy(one):
+                if loop.time() > deadline:
+                    raise UnavailableError(f"{one} is not ready")
+                await asyncio.sleep(0.05)
+
     def end(self):
         """End every process."""
         for process in self.processes.values():
--- a/onyxfork/workload/scenario_run.py
+++ b/onyxfork/workload/scenario_run.py
@@ -243,6 +243,7 @@
         for name in names:
             await self.cluster.stop(name)
             self.cluster.start(name)
+            await self.cluster.wait_for_health(name)
             await self.cluster.wait_for_workers(self.cluster.workers)
             self.say(f"{name} is back")
 
