A lost worker no longer puts all later work in doubt when its owner dies too

Cause: when an agent and later the owning entry were killed, 1,311 to 1,875 of 2,062 jobs were answered may-have-run: the new owner could not know that its predecessor had stopped sending to the dead worker seconds before. Ruled out: asking the upstream, whose protocol tells nothing of the kind. Change: half a second after losing a worker the owner records the latest issue time of what the worker was ever sent, ordered and fenced by its epoch; a successor doubts only what was issued up to then. An agent takes orders only on the connection that leads it. Scenarios kill the owner itself, found by asking, instead of entry-1. Random schedules: 7,500 longer ones found that the test's network let a restarted agent read a former connection; mended there and barred in the agent.

--- a/onyxfork/control/commands.py
+++ b/onyxfork/control/commands.py
@@ -18,6 +18,7 @@
     "SettleClaim",
     "ReleaseClaim",
     "Elapsed",
+    "NoteReach",
     "ChangeResult",
     "COMMANDS",
 ]
@@ -108,6 +109,23 @@
     epoch: int
 
 
+@message(107)
+@define
+class NoteReach:
+    """The owner of a cell says that it has stopped sending to a worker, or will send again (0).
+
+    See :class:`onyxfork.entities.catalogue.Node` for `unreachable_ms`; `order` grows with each.
+    """
+
+    wall_ms: int
+    cell: str
+    epoch: int
+    node: str
+    incarnation: str
+    unreachable_ms: int
+    order: int
+
+
 @message(106)
 @define
 class Elapsed:
@@ -144,4 +162,4 @@
     detail: dict[str, Any] = field(factory=dict)
 
 
-COMMANDS = (Change, Announce, AssignCell, Claim, SettleClaim, ReleaseClaim, Elapsed)
+COMMANDS = (Change, Announce, AssignCell, Claim, SettleClaim, ReleaseClaim, Elapsed, NoteReach)
--- a/onyxfork/control/state.py
+++ b/onyxfork/control/state.py
@@ -17,6 +17,7 @@
     ChangeResult,
     Claim,
     Elapsed,
+    NoteReach,
     ReleaseClaim,
     SettleClaim,
 )
@@ -211,8 +212,10 @@
                 node.restarted_ms = 0
             elif current.incarnation == node.incarnation:
                 node.restarted_ms = current.restarted_ms
+                node.unreachable_ms = current.unreachable_ms
+                node.reach_order = current.reach_order
             else:
-                node.restarted_ms = command.wall_ms
+                node.restarted_ms = current.unreachable_ms or command.wall_ms
             self.set_row(index, "node", node.name, node, command)
         self.drop_lost_nodes(index, command)
         return ChangeResult(True, version=index)
@@ -246,6 +249,20 @@
         self.set_row(index, "cell", command.cell, row, command)
         return ChangeResult(True, version=index)
 
+    def apply_reach(self, index, command):
+        """Take the word of a cell's present owner on whether it sends to a worker."""
+        cell = self.catalogue.find("cell", command.cell)
+        node = self.catalogue.find("node", command.node)
+        if cell is None or cell.epoch != command.epoch:
+            return ChangeResult(False, code="conflict", reason="sent by a former owner")
+        if node is None or node.incarnation != command.incarnation:
+            return ChangeResult(False, code="missing", reason="no such incarnation")
+        if command.order <= node.reach_order:
+            return ChangeResult(False, code="conflict", reason="a later word is known")
+        fields = {"unreachable_ms": command.unreachable_ms, "reach_order": command.order}
+        self.set_row(index, "node", node.name, attrs.evolve(node, **fields), command)
+        return ChangeResult(True, version=index)
+
     # Claims
 
     def apply_claim(self, index, command):
@@ -391,4 +408,5 @@
     SettleClaim: ControlState.apply_settle,
     ReleaseClaim: ControlState.apply_release,
     Elapsed: ControlState.apply_elapsed,
+    NoteReach: ControlState.apply_reach,
 }
--- a/onyxfork/daemons/agent.py
+++ b/onyxfork/daemons/agent.py
@@ -46,6 +46,7 @@
 log = logging.getLogger(__name__)
 
 HOUSEKEEPING_S = 0.25
+OWNER_MESSAGES = (Start, Revoke, Stop, Fetch)
 
 
 class Agent:
@@ -122,6 +123,8 @@
         now = self.clock.now()
         if isinstance(message, Lead):
             self.take_lead(connection, message, now)
+        elif isinstance(message, OWNER_MESSAGES) and connection is not self.lead_connection:
+            log.info("ignored message of a connection that does not lead")
         elif isinstance(message, Start):
             self.note_echo(connection)
             self.queue_results(execution.accept(self.state, message, now))
--- a/onyxfork/entities/catalogue.py
+++ b/onyxfork/entities/catalogue.py
@@ -101,7 +101,13 @@
     via : str
         The control instance that the node follows.
     restarted_ms : int
-        When this incarnation replaced a former one, whose memory is gone; 0 when there was none.
+        Up to when the former incarnation may have begun tasks; its memory is gone. 0 when there
+        was none.
+    unreachable_ms : int
+        By the word of the cell's owner, which has stopped sending to it: nothing issued later than
+        this and the skew of callers' clocks was ever sent. 0 while the owner sends.
+    reach_order : int
+        Grows with each such word; an older one changes nothing.
     """
 
     name: str
@@ -120,6 +126,8 @@
     sequence: int = 0
     via: str = ""
     restarted_ms: int = 0
+    unreachable_ms: int = 0
+    reach_order: int = 0
 
 
 @define
--- a/onyxfork/entities/dispatch.py
+++ b/onyxfork/entities/dispatch.py
@@ -52,10 +52,11 @@
         When this process became owner after another one; None when there was none before.
     ends_at : float
         Monotonic seconds after which every key from before the takeover has expired.
-    unaccounted : set of str
-        Workers that have not yet told what they started for the former owner.
-    vanished : set of str
-        Workers that were given up before they could tell.
+    unaccounted : dict
+        Workers that have not yet told what they started for the former owner, with the wall-clock
+        time in milliseconds up to which they may have started anything.
+    vanished : dict
+        Workers that were given up before they could tell, with the same time.
     latest_restart_ms : int
         When the worker that restarted last did so; what began before may be forgotten there.
     found : dict
@@ -66,8 +67,8 @@
 
     at_wall_ms: int | None = None
     ends_at: float = float("inf")
-    unaccounted: set[str] = field(factory=set)
-    vanished: set[str] = field(factory=set)
+    unaccounted: dict[str, float] = field(factory=dict)
+    vanished: dict[str, float] = field(factory=dict)
     latest_restart_ms: int = 0
     found: dict[str, dict[int, str]] = field(factory=dict)
     held: list[str] = field(factory=list)
--- a/onyxfork/entities/submissions.py
+++ b/onyxfork/entities/submissions.py
@@ -84,6 +84,7 @@
     arrived: float
     order: float
     tasks: int = 0
+    issued_ms: int = 0
     state: State = State.RUNNING
     waiting: list[int] = field(factory=list)
     sent: dict[int, str] = field(factory=dict)
--- a/onyxfork/entities/workers.py
+++ b/onyxfork/entities/workers.py
@@ -45,6 +45,8 @@
         Run times here relative to the average of the job; 5 is five times slow.
     failures : float
         Weighted share of recent tasks that failed here.
+    latest_issued_ms : int
+        Latest time of issue among the submissions that it was ever sent, by any owner.
     state : str
         ``serving``, ``leaving``, ``ejected``, ``probing`` or ``lost``.
     """
@@ -71,6 +73,7 @@
     ejected_until: float = 0.0
     lost_at: float = 0.0
     probe_slots: int = 0
+    latest_issued_ms: int = 0
 
     @property
     def free(self):
--- a/onyxfork/entry/links.py
+++ b/onyxfork/entry/links.py
@@ -30,6 +30,7 @@
         self.owner = owner
         self.connection = None
         self.led = False
+        self.reported = False
         self.task = None
         self.unreachable_since = owner.clock.now()
         self.rng = Random(f"{name}{owner.state.epoch}")
@@ -99,9 +100,22 @@
         if node.incarnation != message.incarnation:
             connection.close("its announcement has not arrived yet")
             return
+        if message.accepted and node.unreachable_ms + self.reported:
+            self.owner.entry.spawn(self.take_back_report(connection, node, message))
+            return
         self.led = message.accepted
         self.owner.on_led(self, node, message)
 
+    async def take_back_report(self, connection, node, message):
+        """Use a worker that was reported unreachable only after control knows that it is not."""
+        if not await self.owner.note_reach(self.name, 0):
+            connection.close("control does not know yet that the worker is reached")
+            return
+        self.reported = False
+        if connection is self.connection and connection.is_open and not self.owner.deposed:
+            self.led = True
+            self.owner.on_led(self, node, message)
+
     def stop(self):
         """End the connection and do not come back."""
         if self.task is not None:
--- a/onyxfork/entry/owner.py
+++ b/onyxfork/entry/owner.py
@@ -4,7 +4,7 @@
 import logging
 from random import Random
 
-from onyxfork.control.commands import Claim, ReleaseClaim, SettleClaim
+from onyxfork.control.commands import Claim, NoteReach, ReleaseClaim, SettleClaim
 from onyxfork.entities.dispatch import Dispatch
 from onyxfork.entities.outcomes import Code, State
 from onyxfork.entities.submissions import Answered
@@ -16,6 +16,9 @@
 from onyxfork.systems.lifetimes import cancel
 from onyxfork.systems.limits import refresh_limits
 from onyxfork.systems.membership import (
+    expect_worker,
+    give_up_unaccounted,
+    unreachable_word,
     worker_led,
     worker_left,
     worker_lost,
@@ -32,6 +35,8 @@
 
 READY_WITHIN_S = 1.5
 TAKEOVER_S = 420.0
+REPORT_AFTER_S = 0.5
+MAX_REACH_WORDS = 10_000_000
 
 
 class CellOwner:
@@ -67,6 +72,7 @@
         self.tick_due = False
         self.timer = None
         self.deposed = False
+        self.reach_words = 0
         self.ready_at = self.clock.now() + READY_WITHIN_S
 
     @property
@@ -98,7 +104,7 @@
         link = AgentLink(node.name, self)
         self.links[node.name] = link
         if self.state.takeover.at_wall_ms is not None:
-            self.state.takeover.unaccounted.add(node.name)
+            expect_worker(self.state, node)
         link.task = self.entry.spawn(link.run())
 
     def remove_node(self, node):
@@ -115,17 +121,14 @@
         """Note a worker that was lost about when this process became owner."""
         takeover = self.state.takeover
         if takeover.at_wall_ms is not None and node.state == "lost":
-            takeover.vanished.add(node.name)
+            takeover.vanished[node.name] = node.unreachable_ms or float("inf")
 
     def drop_worker(self, name, reason):
         """Give up a worker with everything outstanding on it."""
         link = self.links.pop(name, None)
         if link is not None:
             link.stop()
-        takeover = self.state.takeover
-        if name in takeover.unaccounted:
-            takeover.unaccounted.discard(name)
-            takeover.vanished.add(name)
+        give_up_unaccounted(self.state, name)
         worker = self.state.workers.get(name)
         if worker is not None:
             log.warning("worker given up", extra={"worker": name, "reason": reason})
@@ -147,6 +150,38 @@
         if worker is not None:
             worker_unreachable(self.state, worker, self.clock.now())
             self.wake()
+            if not self.deposed:
+                self.entry.spawn(self.report_unreachable(name, unreachable_word(worker)))
+
+    async def report_unreachable(self, name, word_ms):
+        """Let control know that nothing is sent to a worker, once that lasts.
+
+        If this owner dies next, its successor need not doubt what was submitted later.
+        """
+        await asyncio.sleep(REPORT_AFTER_S)
+        link = self.links.get(name)
+        if self.deposed or link is None or link.connection is not None:
+            return
+        link.reported = True
+        await self.note_reach(name, word_ms)
+
+    async def note_reach(self, name, unreachable_ms):
+        """Record whether this owner sends to a worker; return whether it is recorded."""
+        node = self.state.catalogue.find("node", name)
+        if node is None:
+            return False
+        self.reach_words += 1
+        command = NoteReach(
+            wall_ms=self.clock.wall_ms(),
+            cell=self.cell,
+            epoch=self.state.epoch,
+            node=name,
+            incarnation=node.incarnation,
+            unreachable_ms=unreachable_ms,
+            order=self.state.epoch * MAX_REACH_WORDS + self.reach_words,
+        )
+        result = await self.control.propose(command)
+        return result is not None and result.accepted
 
     def on_leaving(self, name):
         """Note that a worker takes no new work."""
--- a/onyxfork/systems/admission.py
+++ b/onyxfork/systems/admission.py
@@ -13,6 +13,7 @@
 from onyxfork.entities.submissions import Submission
 from onyxfork.systems.estimates import expected_ms
 from onyxfork.systems.queueing import add_waiting, lane_for, queue_submission
+from onyxfork.utils.ids import id_time_ms
 
 __all__ = ["admit", "release_claimed", "find_known"]
 
@@ -194,6 +195,7 @@
         lane=lane,
         arrived=now,
         tasks=count,
+        issued_ms=id_time_ms(request.submission) or 0,
         order=order_of(state, request, lane, sum(expected), now),
         expected=expected,
         waiting=list(range(count - 1, -1, -1)),
--- a/onyxfork/systems/membership.py
+++ b/onyxfork/systems/membership.py
@@ -17,6 +17,9 @@
     "worker_left",
     "worker_lost",
     "release_held",
+    "expect_worker",
+    "give_up_unaccounted",
+    "unreachable_word",
     "is_ambiguous",
     "is_unknowable",
     "refuse_unknowable",
@@ -99,8 +102,11 @@
 def note_known(state, worker, node, led):
     """Remember what a worker began for a former owner."""
     takeover = state.takeover
-    takeover.unaccounted.discard(worker.name)
+    takeover.unaccounted.pop(worker.name, None)
     takeover.latest_restart_ms = max(takeover.latest_restart_ms, node.restarted_ms)
+    for known in led.known:
+        issued_ms = id_time_ms(known.submission) or 0
+        worker.latest_issued_ms = max(worker.latest_issued_ms, issued_ms)
     if takeover.at_wall_ms is None:
         return
     for known in led.known:
@@ -168,6 +174,26 @@
         release_limits(state, lane)
 
 
+def expect_worker(state, node):
+    """Note a worker that a new owner has not heard yet, and until when it may have begun tasks."""
+    state.takeover.unaccounted[node.name] = node.unreachable_ms or float("inf")
+
+
+def give_up_unaccounted(state, name):
+    """Note that a worker will not tell any more what it began for the former owner."""
+    until = state.takeover.unaccounted.pop(name, None)
+    if until is not None:
+        state.takeover.vanished[name] = until
+
+
+def unreachable_word(worker):
+    """Return what an owner may say of a worker that it has stopped sending to.
+
+    Taken from the submissions themselves, so that no clock of this process matters.
+    """
+    return max(1, worker.latest_issued_ms - KEY_SKEW_MS)
+
+
 def predates_takeover(state, issued_ms):
     """Return whether a submission may have been with a former owner."""
     at_wall_ms = state.takeover.at_wall_ms
@@ -183,7 +209,9 @@
     issued_ms : int
         Time of issue in the submission's identifier.
     """
-    return predates_takeover(state, issued_ms) and bool(state.takeover.unaccounted)
+    if not predates_takeover(state, issued_ms):
+        return False
+    return any(until >= issued_ms - KEY_SKEW_MS for until in state.takeover.unaccounted.values())
 
 
 def is_unknowable(state, issued_ms):
@@ -191,7 +219,8 @@
     if not predates_takeover(state, issued_ms):
         return False
     takeover = state.takeover
-    return bool(takeover.vanished) or takeover.latest_restart_ms >= issued_ms - KEY_SKEW_MS
+    latest = max([takeover.latest_restart_ms, *takeover.vanished.values()])
+    return latest >= issued_ms - KEY_SKEW_MS
 
 
 def may_have_begun(state, name):
@@ -255,10 +284,11 @@
     int
         How many were decided.
     """
-    if state.takeover.unaccounted or not state.takeover.held:
-        return 0
     held, state.takeover.held = state.takeover.held, []
     for name in held:
+        if is_ambiguous(state, id_time_ms(name)):
+            state.takeover.held.append(name)
+            continue
         submission = state.submissions.get(name)
         if submission is None or submission.state is not State.RUNNING:
             continue
@@ -267,7 +297,7 @@
         if submission.state is State.RUNNING:
             add_waiting(state, submission)
             queue_submission(state, submission)
-    return len(held)
+    return len(held) - len(state.takeover.held)
 
 
 def refuse_unknowable(state, submission, now):
--- a/onyxfork/systems/placement.py
+++ b/onyxfork/systems/placement.py
@@ -148,6 +148,7 @@
     submission.attempts[index] += 1
     submission.sent[index] = worker.name
     submission.placed_free = worker.free
+    worker.latest_issued_ms = max(worker.latest_issued_ms, submission.issued_ms)
     worker.take((submission.name, index), submission)
     reindex(state, worker)
     note_end(state, worker, (submission.name, index), submission.expected[index], now)
--- a/onyxfork/workload/scenario_run.py
+++ b/onyxfork/workload/scenario_run.py
@@ -50,7 +50,7 @@
     versions: dict = field(factory=dict)
     began: float = 0.0
     began_wall_ms: int = 0
-    races: list = field(factory=list)
+    former_owner: str = ""
 
     def say(self, text):
         """Print one line of the timeline."""
@@ -122,10 +122,20 @@
             await asyncio.sleep(max(0.0, self.began + event.at_s - time.monotonic()))
             self.say(f"{event.action} {' '.join(map(str, event.arguments))}")
             try:
-                await getattr(self, f"do_{event.action}")(*event.arguments)
+                arguments = [await self.resolve(one) for one in event.arguments]
+                await getattr(self, f"do_{event.action}")(*arguments)
             except OnyxforkError as error:
                 self.problems.append(f"line {event.line}: {event.action}: {error}")
 
+    async def resolve(self, argument):
+        """Return the process that ``owner`` and ``former-owner`` stand for, other names as is."""
+        if argument == "owner":
+            _, answer = await self.cluster.ask("show cells")
+            self.former_owner = answer["rows"][0]["owner"]
+            self.say(f"the owner is {self.former_owner}")
+            return self.former_owner
+        return self.former_owner if argument == "former-owner" else argument
+
     async def do_kill(self, name):
         self.cluster.kill(name)
 
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -1,6 +1,15 @@
 """Changes take effect once, are never reverted, and name what is wrong."""
 
-from onyxfork.control.commands import Announce, Change, Claim, Elapsed, ReleaseClaim, SettleClaim
+from onyxfork.control.commands import (
+    Announce,
+    AssignCell,
+    Change,
+    Claim,
+    Elapsed,
+    NoteReach,
+    ReleaseClaim,
+    SettleClaim,
+)
 from onyxfork.control.state import ControlState
 from onyxfork.messages import pack
 from onyxfork.utils import new_id
@@ -135,6 +144,26 @@
     assert log.state.catalogue.find("node", "w").state == "serving"
 
 
+def reach(unreachable_ms, order, epoch=1, incarnation="a"):
+    return NoteReach(WALL_MS, "cell-0", epoch, "w", incarnation, unreachable_ms, order)
+
+
+def test_word_of_the_present_owner_on_a_worker_counts_in_order():
+    log = Log()
+    log.apply(Announce(WALL_MS, [node()]))
+    log.apply(AssignCell(WALL_MS, "cell-0", "e1", "x", 0))
+    assert log.apply(reach(77, 5)).accepted
+    assert log.apply(reach(0, 6)).accepted
+    assert log.apply(reach(88, 5)).code == "conflict"
+    assert log.apply(reach(99, 7, epoch=9)).code == "conflict"
+    assert log.apply(reach(99, 7, incarnation="z")).code == "missing"
+    assert log.state.catalogue.find("node", "w").unreachable_ms == 0
+    log.apply(reach(55, 8))
+    log.apply(Announce(WALL_MS, [node(incarnation="b")]))
+    row = log.state.catalogue.find("node", "w")
+    assert (row.restarted_ms, row.unreachable_ms) == (55, 0)
+
+
 def test_follower_gets_deltas_or_everything():
     log = with_job()
     version = log.state.version
--- a/tests/systems/dispatch_network.py
+++ b/tests/systems/dispatch_network.py
@@ -21,7 +21,14 @@
 from onyxfork.systems import execution
 from onyxfork.systems.intake import let_in, take_in
 from onyxfork.systems.lifetimes import cancel
-from onyxfork.systems.membership import worker_led, worker_lost, worker_unreachable
+from onyxfork.systems.membership import (
+    expect_worker,
+    give_up_unaccounted,
+    unreachable_word,
+    worker_led,
+    worker_lost,
+    worker_unreachable,
+)
 from onyxfork.systems.policies import LateBinding
 from onyxfork.systems.results import apply_result
 from onyxfork.systems.tick import tick
@@ -52,6 +59,7 @@
     lease_until: float
     waiting: dict = field(factory=dict)
     echoes: dict = field(factory=dict)
+    connected: dict = field(factory=dict)
 
 
 class Functions:
@@ -102,9 +110,11 @@
         """Start an agent that remembers nothing."""
         self.incarnations[name] += 1
         state = AgentState(incarnation=f"{name}.{self.incarnations[name]}", slots=1)
+        former = self.catalogue.find("node", name)
         self.agents[name] = FakeAgent(state)
         node = Node(name, "agent", "127.0.0.1", 1, "z", incarnation=state.incarnation, slots=1)
-        node.restarted_ms = self.wall_ms if self.incarnations[name] > 1 else 0
+        if former is not None:
+            node.restarted_ms = former.unreachable_ms or self.wall_ms
         self.catalogue.put("node", name, node)
 
     def restart_agent(self, name):
@@ -171,7 +181,8 @@
         self.owners.append(owner)
         if epoch > 1:
             state.takeover.at_wall_ms = self.wall_ms
-            state.takeover.unaccounted.update(WORKERS)
+            for name in WORKERS:
+                expect_worker(state, self.catalogue.find("node", name))
         for name in WORKERS:
             self.connect(name)
 
@@ -182,6 +193,7 @@
         if worker is not None:
             worker_unreachable(self.owner.state, worker, self.now)
         self.owner.echoes[name] = self.now
+        self.owner.connected[name] = self.agents[name].state.incarnation
         lead = Lead("c", self.owner.state.epoch, f"e{len(self.owners)}", self.now)
         self.send("owner", name, lead)
         self.run_owner(self.owner)
@@ -202,6 +214,10 @@
         if isinstance(message, Led):
             node = self.catalogue.find("node", name)
             if message.accepted and node.incarnation == message.incarnation:
+                if owner is self.owner:
+                    node.unreachable_ms = 0
+                elif node.unreachable_ms:
+                    return
                 worker_led(state, node, message, self.now)
         elif isinstance(message, Results):
             worker = state.workers.get(name)
@@ -209,12 +225,17 @@
                 apply_result(state, worker, result, self.now)
         self.run_owner(owner)
 
+    def report(self, name):
+        """Stop sending to a worker that is out of reach, and record it for the next owner."""
+        worker = self.owner.state.workers.get(name)
+        if worker is not None and worker.state == "lost":
+            node = self.catalogue.find("node", name)
+            node.unreachable_ms = unreachable_word(worker)
+
     def give_up(self, name):
         """Give up a worker that could not be reached."""
         state = self.owner.state
-        if name in state.takeover.unaccounted:
-            state.takeover.unaccounted.discard(name)
-            state.takeover.vanished.add(name)
+        give_up_unaccounted(state, name)
         worker = state.workers.get(name)
         if worker is not None:
             worker_lost(state, worker, "given up", self.now)
@@ -318,7 +339,7 @@
         sender, receiver, message, owner = self.inbox[at] if keep else self.inbox.pop(at)
         if receiver == "owner":
             self.to_owner(sender, message, owner)
-        else:
+        elif owner.connected[receiver] == self.agents[receiver].state.incarnation:
             self.to_agent(receiver, message)
 
     def settle(self, most=80):
--- a/tests/systems/test_at_most_once.py
+++ b/tests/systems/test_at_most_once.py
@@ -78,6 +78,14 @@
     def reconnect(self, name):
         self.network.connect(name)
 
+    @rule(name=NAMES)
+    def lose_worker(self, name):
+        """Let a worker get out of its owner's reach, and the owner say so."""
+        network = self.network
+        network.connect(name)
+        network.inbox = [item for item in network.inbox if not isinstance(item[2], Lead)]
+        network.report(name)
+
     @rule(name=NAMES)
     def restart_agent(self, name):
         self.network.restart_agent(name)
