--- a/onyxfork/workload/capacity_rows.py
+++ b/onyxfork/workload/capacity_rows.py
@@ -166,6 +166,7 @@
 
 @row("entry", "entries at the peak", "cells with one owner each: systems/placement, entry/owner")
 def entries_at_peak(facts):
+    """Work out the row: entries at the peak."""
     arithmetic = (
         f"{facts.jobs_per_s:.0f} jobs/s × {facts.job_us:.0f} µs = {facts.cores:.0f} cores, "
         f"used to {facts.size.entry_use:.0%}"
@@ -175,6 +176,7 @@
 
 @row("entry", "workers in one cell", "rendezvous hashing of workers and keys: entry/front")
 def workers_in_a_cell(facts):
+    """Work out the row: workers in one cell."""
     slots = facts.cell_workers * facts.size.slots
     value = f"{facts.cell_workers:.0f} workers, {slots:.0f} slots"
     bound = f"at least {POOLED_SLOTS} slots pool well"
@@ -183,6 +185,7 @@
 
 @row("entry", "decisions a task by workers known", "buckets of free slots: entities/workers")
 def decisions_by_workers(facts):
+    """Work out the row: decisions a task by workers known."""
     costs = [facts.per(f"decisions a task, {n} known workers") for n in (11, 200, 2700)]
     apart = max(costs) / min(costs)
     arithmetic = " / ".join(f"{cost:.1f}" for cost in costs) + " µs at 11 / 200 / 2,700"
@@ -191,6 +194,7 @@
 
 @row("entry", "memory", "answers kept 300 s within a bound: systems/results, systems/lifetimes")
 def entry_memory(facts):
+    """Work out the row: memory."""
     size = facts.size
     kept = facts.jobs_per_s / facts.entries * ANSWERS_KEPT_S
     in_flight = size.starts_per_s * size.mean_run_s / facts.entries
@@ -212,6 +216,7 @@
 
 @row("entry", "heartbeats at rest", "pings only where nothing else was sent: messages/connection")
 def entry_heartbeats(facts):
+    """Work out the row: heartbeats at rest."""
     cost = facts.per("processor time a second at rest, a connection end")
     used = facts.cell_workers * cost * MICRO
     arithmetic = f"{facts.cell_workers:.0f} connections × {cost:.0f} µs/s"
@@ -221,6 +226,7 @@
 
 @row("agent", "control traffic at rest", "one owner, one control instance: control/fanout")
 def agent_traffic(facts):
+    """Work out the row: control traffic at rest."""
     rest = facts.per("bytes a second at rest, a connection end")
     per_row = facts.per("bytes of a change or heartbeat for each follower")
     changes = facts.rows_per_s * per_row
@@ -235,6 +241,7 @@
 
 @row("agent", "processor time for control", "messages/connection")
 def agent_control_time(facts):
+    """Work out the row: processor time for control."""
     used = 2 * facts.per("processor time a second at rest, a connection end") * MICRO
     share = facts.size.core_share
     return "2 connections at rest", *within(used, share, f"{used:.3%} of a core", f"{share:.1%}")
@@ -242,6 +249,7 @@
 
 @row("agent", "processor time for tasks, HTTP aside", "systems/execution")
 def agent_task_time(facts):
+    """Work out the row: processor time for tasks, HTTP aside."""
     starts = facts.size.starts_per_s / facts.size.workers
     cost = facts.per("decisions and codec a task at the agent")
     value = f"{starts * cost * MICRO:.2%} of a core"
@@ -250,6 +258,7 @@
 
 @row("agent", "memory", "retention by time, outputs by bytes: systems/execution")
 def agent_memory(facts):
+    """Work out the row: memory."""
     kept = facts.size.starts_per_s / facts.size.workers * ENDED_KEPT_S
     each = facts.per("an ended task remembered by the agent")
     used = facts.process_bytes["agent"] + kept * each
@@ -260,17 +269,20 @@
 
 @row("agent", "connections", "one owner a cell: entry/links")
 def agent_connections(facts):
+    """Work out the row: connections."""
     return "owner + control + a second owner during a hand-over", "3", "64 a worker", True
 
 
 @row("control", "followers of one instance", "each node follows one: control/fanout")
 def followers_of_one(facts):
+    """Work out the row: followers of one instance."""
     arithmetic = f"({facts.size.workers} + {facts.entries}) ÷ {facts.size.control_instances}"
     return arithmetic, f"{facts.followers:.0f}", "9 instances", True
 
 
 @row("control", "processor time at rest and for changes", "control/fanout, control/replica")
 def control_time(facts):
+    """Work out the row: processor time at rest and for changes."""
     each = (
         facts.rows_per_s * facts.per("a change for each follower")
         + facts.per("a heartbeat for each follower")
@@ -286,6 +298,7 @@
 
 @row("control", "one change to all followers of an instance", "control/fanout.flush")
 def change_to_all(facts):
+    """Work out the row: one change to all followers of an instance."""
     each = facts.per("a change for each follower")
     used = facts.followers * each * MICRO
     arithmetic = f"{facts.followers:.0f} × {each:.1f} µs"
@@ -299,6 +312,7 @@
     "them: control/state",
 )
 def control_memory(facts):
+    """Work out the row: memory, claims included."""
     each = facts.per("a claim")
     claims = facts.claims_per_s * CLAIMS_KEPT_S
     used = (
@@ -317,6 +331,7 @@
 
 @row("control", "start from a snapshot", "control/state.from_snapshot")
 def start_from_snapshot(facts):
+    """Work out the row: start from a snapshot."""
     each = facts.per("start from a snapshot, a row")
     used = facts.nodes * each * MICRO
     arithmetic = f"{facts.nodes} rows × {each:.0f} µs"
@@ -325,6 +340,7 @@
 
 @row("control", "claims of non-idempotent jobs", "group commit: control/replica")
 def claim_time(facts):
+    """Work out the row: claims of non-idempotent jobs."""
     each = facts.per("a claim agreed, in batches")
     used = 2 * facts.claims_per_s * each * MICRO
     arithmetic = (
@@ -336,6 +352,7 @@
 
 @row("event", "a zone lost, load on the rest", "what would be late is refused: systems/admission")
 def zone_lost(facts):
+    """Work out the row: a zone lost, load on the rest."""
     size = facts.size
     use = size.starts_per_s * size.mean_run_s / size.workers / size.slots
     rest = use * size.zones / (size.zones - 1)
@@ -348,6 +365,7 @@
 
 @row("event", "a rack lost", "systems/membership.worker_lost")
 def rack_lost(facts):
+    """Work out the row: a rack lost."""
     each = facts.per("loss of a worker, an outstanding task")
     used = RACK_WORKERS * facts.size.slots * each * MICRO
     arithmetic = f"{RACK_WORKERS} workers × {facts.size.slots} tasks × {each:.0f} µs"
@@ -356,6 +374,7 @@
 
 @row("event", "a zone's rows change", "rows of one batch leave together: control/fanout")
 def zone_rows(facts):
+    """Work out the row: a zone's rows change."""
     changed = facts.size.workers // facts.size.zones
     used = changed * facts.followers * facts.per("a change for each follower") * MICRO
     arithmetic = f"{changed} rows × {facts.followers:.0f} followers"
@@ -365,6 +384,7 @@
 
 @row("event", "every agent announces itself at once", "group commit: control/replica")
 def all_announce(facts):
+    """Work out the row: every agent announces itself at once."""
     each = facts.per("a change at one replica")
     used = facts.size.workers * each * MICRO
     arithmetic = f"{facts.size.workers} entries × {each:.0f} µs"
@@ -373,12 +393,14 @@
 
 @row("event", "3,100 restarts a day", "announcements with sequence numbers: control/state")
 def restarts(facts):
+    """Work out the row: 3,100 restarts a day."""
     arithmetic = f"2 × ({facts.size.restarts_a_day:.0f} + {facts.size.fails_a_day:.0f}) ÷ {DAY_S}"
     return arithmetic, f"{facts.membership_per_s:.3f} rows/s", "as changes", True
 
 
 @row("event", "an entry lost", "control/leases, systems/membership.adopt")
 def entry_lost(facts):
+    """Work out the row: an entry lost."""
     arithmetic = f"{facts.cell_workers:.0f} agents led anew, after the lease of 2 s"
     return arithmetic, "2 to 4 s for its cell", "callers' requests are held and taken over", True
 
@@ -390,6 +412,7 @@
     "is cut off go on, and needs keys that name their region",
 )
 def region_cut_off(facts):
+    """Work out the row: a region cut off for minutes."""
     arithmetic = "the side without a quorum of control renews no lease"
     value = "its entries refuse as not run after 2 s; running tasks end"
     return arithmetic, value, "each side goes on", False
