--- a/onyxfork/control/raft.py
+++ b/onyxfork/control/raft.py
@@ -42,6 +42,7 @@
     election_min_s: float = 0.6
     election_max_s: float = 1.2
     first_election_s: float = 0.3
+    replace_after_s: float = 3.0
 
 
 @define
@@ -105,6 +106,8 @@
     rng : random.Random
     timing : RaftTiming
     now : float
+    most_voters : int
+        With as many voters, a learner gets a vote only in place of a voter that is out of reach.
 
     Attributes
     ----------
@@ -112,8 +115,11 @@
         ``follower``, ``precandidate``, ``candidate`` or ``leader``.
     """
 
-    def __init__(self, me, members, log=None, term=0, vote="", *, rng, timing=None, now=0.0):
+    def __init__(
+        self, me, members, log=None, term=0, vote="", *, rng, timing=None, now=0.0, most_voters=9
+    ):
         self.me = me
+        self.most_voters = most_voters
         self.rng = rng
         self.timing = timing or RaftTiming()
         self.log = log or RaftLog()
--- a/onyxfork/control/raft_members.py
+++ b/onyxfork/control/raft_members.py
@@ -75,6 +75,10 @@
             if progress is None or progress.match < self.commit or not self.commit:
                 continue
             replaced = self.same_name_voter(name)
+            if replaced is None and len(self.members.voters) >= self.most_voters:
+                replaced = self.unreachable_voter(now)
+                if replaced is None:
+                    continue
             voters = dict(self.members.voters)
             learners = dict(self.members.learners)
             if replaced is not None:
@@ -93,6 +97,16 @@
                 return voter
         return None
 
+    def unreachable_voter(self, now):
+        """Return the voter that has been out of reach longest and for too long, or None."""
+        limit = now - self.timing.replace_after_s
+        silent = [
+            (self.progress[name].heard_at, name)
+            for name in self.members.voters
+            if name != self.me and self.progress[name].heard_at < limit
+        ]
+        return min(silent)[1] if silent else None
+
     def hand_over(self, now):
         """Ask the most advanced voter to take the lead; return whether there is one."""
         others = [name for name in self.members.voters if name != self.me]
--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -70,7 +70,7 @@
         self.tls = TlsContexts.from_config(settings)
         self.clock = clock or clock_for(settings.clock_file)
         self.rng = Random(f"{recovered.identity}{self.clock.wall_ms()}")
-        self.state = make_state(recovered.state)
+        self.state = self.load_state(recovered.state)
         self.raft = Raft(
             recovered.identity,
             recovered.members,
@@ -80,8 +80,9 @@
             rng=self.rng,
             timing=RaftTiming(),
             now=self.clock.now(),
+            most_voters=settings.most_voters,
         )
-        self.fanout = Fanout(self.state, settings.node, self.clock)
+        self.fanout = self.make_fanout()
         self.leases = LeaseTable(settings.cells, settings.lease_s, self.raft.timing.election_max_s)
         self.executor = ThreadPoolExecutor(max_workers=1)
         self.wake = asyncio.Event()
@@ -102,6 +103,15 @@
         """Return a replica on an open data folder."""
         return cls(settings, storage, metrics)
 
+    @staticmethod
+    def load_state(snapshot):
+        """Return the state in a snapshot, or an empty one."""
+        return ControlState() if snapshot is None else ControlState.from_snapshot(snapshot)
+
+    def make_fanout(self):
+        """Return what feeds the nodes that follow this instance."""
+        return Fanout(self.state, self.settings.node, self.clock)
+
     @property
     def is_current(self):
         """Whether this instance is surely in touch with a quorum."""
@@ -205,7 +215,7 @@
 
     def load_snapshot(self, message):
         """Replace the state by one received from the leader."""
-        self.state = make_state(message.state)
+        self.state = self.load_state(message.state)
         self.fanout.replace_state(self.state)
 
     async def compact(self):
@@ -316,11 +326,6 @@
                 await asyncio.sleep(0.02)
 
 
-def make_state(snapshot):
-    """Return the state in a snapshot, or an empty one."""
-    return ControlState() if snapshot is None else ControlState.from_snapshot(snapshot)
-
-
 async def wait_for_event(event, timeout_s):
     """Wait until an event is set or a time has passed."""
     if event.is_set():
--- a/onyxfork/control/replica_peers.py
+++ b/onyxfork/control/replica_peers.py
@@ -6,6 +6,8 @@
 import asyncio
 import logging
 
+from attrs import evolve
+
 from onyxfork.control.raft_messages import Join, Members
 from onyxfork.errors import OnyxforkError, ProtocolError
 from onyxfork.messages import open_connection
@@ -18,6 +20,8 @@
 RECONNECT_MIN_S = 0.1
 RECONNECT_MAX_S = 1.0
 JOIN_INTERVAL_S = 0.5
+FORGOTTEN_AFTER_S = 2.5
+PASSED_ON = "passed on"
 
 
 class Peers:
@@ -39,7 +43,7 @@
                 if key not in wanted:
                     dialers.pop(key).cancel()
                     self.peers.pop(key[0], None)
-            if not self.is_member:
+            if not self.is_member or self.is_forgotten:
                 self.ask_to_join()
             await asyncio.sleep(JOIN_INTERVAL_S)
 
@@ -48,6 +52,13 @@
         """Whether this replica is a voter or a learner as far as it knows."""
         return self.raft.me in self.raft.members.everyone
 
+    @property
+    def is_forgotten(self):
+        """Whether no leader has spoken to this replica for long, so that it may not be a member."""
+        return not self.raft.is_leader and (
+            self.clock.now() - self.raft.leader_heard_at > FORGOTTEN_AFTER_S
+        )
+
     def wanted_peers(self):
         """Return (identity or None, address) of every instance to be connected to."""
         if self.is_member:
@@ -88,9 +99,14 @@
             connection.send(message)
 
     def handle_join(self, message):
-        """Let a replica without a vote become a learner, as the leader."""
+        """Let a replica without a vote become a learner, as the leader, or pass it on to that."""
         members = self.raft.members
-        if not self.raft.is_leader or message.member in members.everyone:
+        if not self.raft.is_leader:
+            leader = self.peers.get(self.raft.leader)
+            if leader is not None and message.extra != PASSED_ON:
+                leader.send(evolve(message, extra=PASSED_ON))
+            return
+        if message.member in members.everyone:
             return
         learners = {**members.learners, message.member: message.address}
         for name in list(learners):
--- a/onyxfork/daemons/control.py
+++ b/onyxfork/daemons/control.py
@@ -8,7 +8,7 @@
 
 from onyxfork.control.access import authenticate
 from onyxfork.control.admin import Administration
-from onyxfork.control.raft_messages import Members
+from onyxfork.control.identity import initial_identity
 from onyxfork.control.replica import Replica, run_replica
 from onyxfork.control.storage import open_storage
 from onyxfork.daemons.http_server import (
@@ -94,18 +94,6 @@
         return app
 
 
-def initial_identity(settings, bootstrap):
-    """Return identity and members of a replica whose data folder is new.
-
-    A bootstrapping replica is one of the first members; any other new folder makes a replica that
-    has to join, because it must not vote before it has learned what was agreed.
-    """
-    if not bootstrap:
-        return None, Members()
-    voters = {f"{name}#0": str(address) for name, address in settings.members.items()}
-    return f"{settings.node}#0", Members(voters)
-
-
 @asynccontextmanager
 async def run_control(settings, bootstrap=False):
     """Run a control instance while the context is open.
--- /dev/null
+++ b/onyxfork/direct/admission.py
@@ -0,0 +1,76 @@
+"""Which jobs are taken when there is more work than room.
+
+Waiting tasks are started in the order of their latest start. A job is taken when the work that
+would start before its tasks, and its own, can begin in time at the rate at which this entry's work
+ends; so work with little slack is taken although much work with more slack waits.
+"""
+
+from attrs import define
+
+__all__ = ["Refusal", "predicted_wait_s", "check_admission"]
+
+START_MARGIN = 1.0
+"""Share of a job's slack that its predicted wait may use."""
+
+LEAST_RETRY_AFTER_MS = 1000.0
+"""A caller is not asked back sooner than this; `Retry-After` counts whole seconds."""
+
+
+@define(slots=True)
+class Refusal:
+    """Why a job is not taken, and when it would have a chance."""
+
+    reason: str
+    retry_after_ms: float = LEAST_RETRY_AFTER_MS
+
+
+def predicted_wait_s(job, waiting, cores_running):
+    """Return how long until the last task of a job that could start now would start.
+
+    Parameters
+    ----------
+    job : Job
+    waiting : iterable of Task
+        Tasks of this entry that have no room yet.
+    cores_running : float
+        Thousandths of a core that this entry's tasks occupy.
+
+    Returns
+    -------
+    float
+        Seconds; 0 when nothing waits.
+    """
+    latest = min(job.latest_start(task) for task in job.tasks)
+    work = 0.0
+    for task in waiting:
+        if task.job.latest_start(task) <= latest:
+            work += task.spec.cpu * task.expected_ms
+    if not work:
+        return 0.0
+    own = sum(task.spec.cpu * task.expected_ms for task in job.tasks)
+    return (work + own) / max(cores_running, 1.0) / 1000
+
+
+def check_admission(job, waiting, cores_running, now):
+    """Return why a job is refused, or None when it is taken.
+
+    Parameters
+    ----------
+    job : Job
+    waiting : collection of Task
+    cores_running : float
+    now : float
+
+    Returns
+    -------
+    Refusal or None
+    """
+    if not waiting:
+        return None
+    wait_s = predicted_wait_s(job, waiting, cores_running)
+    slack_s = min(job.latest_start(task) for task in job.tasks) - now
+    if wait_s <= START_MARGIN * slack_s:
+        return None
+    excess_ms = (wait_s - slack_s) * 1000
+    reason = f"would start {excess_ms:.0f} ms too late"
+    return Refusal(reason, max(LEAST_RETRY_AFTER_MS, excess_ms))
--- /dev/null
+++ b/onyxfork/direct/arbiter.py
@@ -0,0 +1,418 @@
+"""Decisions of an agent: which run starts when, and what became of each.
+
+The arbiter is the only authority on its worker's room. It reads no clock and makes no call; its
+driver carries out the starts and stops that it asks for, and hands it the answers and what the
+worker lists.
+"""
+
+import heapq
+import logging
+import math
+from itertools import count
+
+from onyxfork.direct.messages import TaskEvent, WorkerStatus
+from onyxfork.direct.runs import QUEUED, RUNNING, STARTING, STOPPING, Run, Session
+
+__all__ = ["Arbiter"]
+
+log = logging.getLogger(__name__)
+
+RESUME_WITHIN_S = 0.25
+"""An entry whose connection broke may come back for its runs this long; its callers send a job
+again 1.3 s after a broken connection, and by then the runs have stopped."""
+
+REMEMBER_ENDS = 4096
+"""Ends kept for an entry that comes back."""
+
+PACE_WEIGHT = 0.1
+"""Weight of the latest run in the averages of pace and failures."""
+
+FEWEST_EXPECTED_MS = 1.0
+"""Floor of an estimate, so that pace stays finite."""
+
+UNHEALTHY_S = 0.5
+"""How long nothing is started after the worker has refused a start as unhealthy."""
+
+ABSENT = "absent"
+SUSPECT = "suspect"
+READY = "ready"
+
+
+class Arbiter:
+    """The runs of one worker.
+
+    Attributes
+    ----------
+    runs : dict
+        Runs by task key; a task has one run here at most.
+    starts, stops : list of Run
+        What the driver has to carry out next.
+    """
+
+    def __init__(self):
+        self.worker = None
+        self.answers = True
+        self.sessions = {}
+        self.runs = {}
+        self.queue = []
+        self.sequence = count()
+        self.starts = []
+        self.stops = []
+        self.cpu_used = self.memory_used = self.gpu_used = 0
+        self.cpu_queued = self.memory_queued = self.gpu_queued = 0
+        self.log_pace = 0.0
+        self.failing = 0.0
+        self.unhealthy_until = 0.0
+        self.changed = False
+
+    # Worker
+
+    @property
+    def state(self):
+        """State of the worker as entries see it."""
+        if self.worker is None:
+            return ABSENT
+        if not self.answers:
+            return SUSPECT
+        return self.worker.state
+
+    def take_worker(self, worker, now):
+        """Take a report of the worker.
+
+        Returns
+        -------
+        bool
+            Whether it was news; a report of an earlier lifetime or one overtaken is not.
+        """
+        known = self.worker
+        if known is not None:
+            if worker.born_ms < known.born_ms:
+                return False
+            same_life = (worker.id, worker.born_ms) == (known.id, known.born_ms)
+            if same_life and worker.sequence <= known.sequence:
+                return False
+            if same_life and known.state == "draining":
+                worker.state = "draining"
+            if not same_life:
+                self.end_lifetime("a new lifetime of the worker has begun", now)
+        self.worker = worker
+        self.changed = True
+        if worker.state != READY:
+            self.return_queued("draining", now)
+        return True
+
+    def end_lifetime(self, reason, now):
+        """Note that the worker's lifetime is over, and with it everything that ran."""
+        self.worker = None
+        self.changed = True
+        for run in list(self.runs.values()):
+            kind = "returned" if run.state == QUEUED else "lost"
+            self.finish(run, kind, now, reason)
+        self.failing = 0.0
+        self.log_pace = 0.0
+        self.unhealthy_until = 0.0
+
+    def set_answers(self, answers, now):
+        """Note whether the worker answers."""
+        if answers == self.answers:
+            return
+        self.answers = answers
+        self.changed = True
+        if not answers:
+            self.return_queued("unanswered", now)
+
+    def lease_lapsed(self, now):
+        """Note that the worker has been out of reach for longer than any lease."""
+        for run in list(self.runs.values()):
+            if run.state != QUEUED:
+                self.finish(run, "lost", now, "lease lapsed out of reach")
+
+    def return_queued(self, reason, now):
+        """Hand back everything that has not started."""
+        for run in list(self.runs.values()):
+            if run.state == QUEUED:
+                self.finish(run, "returned", now, reason)
+
+    # Entries
+
+    def connect(self, entry, incarnation, connection):
+        """Return the session of an entry's process on its new connection."""
+        session = self.sessions.get(entry)
+        if session is None or session.incarnation != incarnation:
+            if session is not None:
+                self.drop_session(session, "the entry has restarted")
+            session = self.sessions[entry] = Session(entry, incarnation)
+        session.connection = connection
+        session.orders_seen = 0
+        return session
+
+    def disconnect(self, session, connection, now):
+        """Note that a connection has ended."""
+        if session.connection is connection:
+            session.connection = None
+            session.gone_at = now
+
+    def resume(self, session, refs, now):
+        """Compare the runs that an entry believes in with those that are here."""
+        wanted = {ref.key: ref for ref in refs}
+        for run in list(self.runs.values()):
+            if run.session is not session:
+                continue
+            ref = wanted.pop(run.key, None)
+            if ref is None or ref.run != run.order.run:
+                self.stop(run, "not wanted any more", now)
+            elif run.state == RUNNING:
+                session.events.append(run.event("started", now))
+        for ref in wanted.values():
+            session.events.append(session.ended.get(ref) or returned(ref, "never arrived"))
+        self.changed = True
+
+    def drop_session(self, session, reason):
+        """Stop everything that an entry's process has ordered."""
+        self.sessions.pop(session.entry, None)
+        mine = [run for run in self.runs.values() if run.session is session]
+        if mine:
+            fields = {"entry": session.entry, "runs": len(mine), "reason": reason}
+            log.warning("runs of an entry stopped", extra=fields)
+        for run in mine:
+            self.stop(run, reason, session.gone_at)
+
+    def place(self, session, orders, now):
+        """Take orders of an entry."""
+        session.orders_seen += len(orders)
+        self.changed = True
+        for order in orders:
+            refusal = self.find_refusal(session, order)
+            if refusal == "":
+                continue
+            if refusal is not None:
+                session.events.append(returned(order.ref, refusal))
+                continue
+            run = Run(order, session, now, now + order.slack_ms / 1000)
+            self.runs[run.key] = run
+            self.count_queued(run, 1)
+            heapq.heappush(self.queue, (run.latest_start, next(self.sequence), run))
+
+    def find_refusal(self, session, order):
+        """Return why an order is handed back; empty when it is known already, None to take it."""
+        known = self.runs.get(order.ref.key)
+        if known is not None and known.session is session and known.order.run == order.run:
+            return ""
+        if known is not None:
+            return "copy" if known.session is not session else "busy"
+        return None if self.state == READY else self.state
+
+    def withdraw(self, session, refs, now):
+        """Stop runs that their entry does not want any more."""
+        for ref in refs:
+            run = self.runs.get(ref.key)
+            if run is not None and run.session is session and run.order.run == ref.run:
+                self.stop(run, "withdrawn", now)
+            else:
+                session.events.append(session.ended.get(ref) or returned(ref, "never arrived"))
+
+    # Starts and stops
+
+    def schedule(self, now):
+        """Start queued runs, those with the least slack first, while they fit."""
+        while self.queue and self.state == READY and now >= self.unhealthy_until:
+            _, _, run = self.queue[0]
+            if run.state != QUEUED or self.runs.get(run.key) is not run:
+                heapq.heappop(self.queue)
+                continue
+            if not self.fits(run.order):
+                return
+            heapq.heappop(self.queue)
+            self.count_queued(run, -1)
+            self.count_used(run, 1)
+            run.state, run.ordered_at = STARTING, now
+            self.starts.append(run)
+            self.changed = True
+
+    def fits(self, order):
+        """Return whether a task has room now."""
+        worker = self.worker
+        return (
+            self.cpu_used + order.cpu <= worker.cpu
+            and self.memory_used + order.memory_mb <= worker.memory_mb
+            and self.gpu_used + order.gpu <= worker.gpu
+        )
+
+    def count_used(self, run, sign):
+        """Add or subtract a run from what the worker is busy with."""
+        self.cpu_used += sign * run.order.cpu
+        self.memory_used += sign * run.order.memory_mb
+        self.gpu_used += sign * run.order.gpu
+
+    def count_queued(self, run, sign):
+        """Add or subtract a run from what waits here."""
+        self.cpu_queued += sign * run.order.cpu
+        self.memory_queued += sign * run.order.memory_mb
+        self.gpu_queued += sign * run.order.gpu
+
+    def stop(self, run, reason, now):
+        """Take a run back: at once when it has not started, through the worker otherwise."""
+        if run.state == QUEUED:
+            self.finish(run, "returned", now, reason)
+        elif run.state != STOPPING:
+            run.reason = run.reason or reason
+            if run.state == RUNNING:
+                run.state = STOPPING
+                self.stops.append(run)
+
+    def start_answered(self, run, answer, now):
+        """Take the worker's answer to an order to start.
+
+        Parameters
+        ----------
+        run : Run
+        answer : str
+            ``started``, ``room``, ``old``, ``late``, ``unhealthy``, ``invalid`` or ``unanswered``.
+        now : float
+        """
+        if self.runs.get(run.key) is not run or run.state != STARTING:
+            return
+        if answer == "started":
+            run.state, run.started_at, run.moved_at = RUNNING, now, now
+            self.tell(run, run.event("started", now))
+            if run.reason:
+                self.stop(run, run.reason, now)
+        elif answer == "unanswered":
+            run.doubtful = True
+            run.state = STOPPING
+            run.reason = run.reason or "unanswered"
+            self.stops.append(run)
+        elif answer == "invalid":
+            self.finish(run, "failed", now, "the worker can not read the order")
+        else:
+            if answer == "unhealthy":
+                self.unhealthy_until = now + UNHEALTHY_S
+                self.note_end(failed=True)
+            self.finish(run, "returned", now, answer)
+
+    def stop_answered(self, run, now):
+        """Take the worker's word that a run will stop, or never start."""
+        run.stop_answered_at = now
+
+    # What the worker lists
+
+    def take_ends(self, ends, now):
+        """Take runs that the worker lists as ended.
+
+        Parameters
+        ----------
+        ends : list of (TaskRef, str)
+            With ``done``, ``failed``, ``stopped`` or ``lost``.
+        now : float
+        """
+        for ref, how in ends:
+            run = self.runs.get(ref.key)
+            if run is None or run.order.run != ref.run or run.state == QUEUED:
+                continue
+            if how in ("done", "failed"):
+                self.note_end(how == "failed")
+            if how == "done" and run.began:
+                self.note_pace((now - run.started_at) * 1000, run.order.expected_ms)
+            self.finish(run, how, now, run.reason)
+
+    def take_running(self, listed, asked_at, now):
+        """Take the list of what runs, asked for at `asked_at`.
+
+        Parameters
+        ----------
+        listed : dict
+            Progress in percent by `TaskRef`.
+        asked_at, now : float
+
+        Returns
+        -------
+        list of TaskRef
+            Runs that nobody here has ordered; the driver stops them.
+        """
+        unknown = []
+        for ref, percent in listed.items():
+            run = self.runs.get(ref.key)
+            if run is None or run.order.run != ref.run:
+                unknown.append(ref)
+            elif percent > run.percent:
+                run.percent, run.moved_at = percent, now
+        for run in list(self.runs.values()):
+            if run.order.ref in listed or not self.must_be_listed(run, asked_at):
+                continue
+            kind = "stopped" if run.doubtful else "lost"
+            self.finish(run, kind, now, run.reason or "the worker does not list it")
+        return unknown
+
+    @staticmethod
+    def must_be_listed(run, asked_at):
+        """Return whether a list asked for at `asked_at` holds a run unless it has ended.
+
+        A run whose order was left unanswered may have begun; once its stop is answered it has
+        either ended or never begins.
+        """
+        if run.doubtful:
+            return 0 < run.stop_answered_at < asked_at
+        return run.state in (RUNNING, STOPPING) and run.began and run.started_at < asked_at
+
+    # Ends
+
+    def finish(self, run, kind, now, reason=""):
+        """Forget a run and tell its entry what became of it."""
+        del self.runs[run.key]
+        self.changed = True
+        if run.state == QUEUED:
+            self.count_queued(run, -1)
+        else:
+            self.count_used(run, -1)
+        event = run.event(kind, now, reason)
+        ended = run.session.ended
+        ended[run.order.ref] = event
+        if len(ended) > REMEMBER_ENDS:
+            del ended[next(iter(ended))]
+        self.tell(run, event)
+
+    def tell(self, run, event):
+        """Queue news for the entry that ordered a run."""
+        run.session.events.append(event)
+
+    def note_end(self, failed):
+        """Average the share of failed runs."""
+        self.failing += PACE_WEIGHT * ((1.0 if failed else 0.0) - self.failing)
+
+    def note_pace(self, run_ms, expected_ms):
+        """Average run times over their estimates, by logarithm."""
+        ratio = max(run_ms, FEWEST_EXPECTED_MS) / max(expected_ms, FEWEST_EXPECTED_MS)
+        self.log_pace += PACE_WEIGHT * (math.log(ratio) - self.log_pace)
+
+    # Time
+
+    def tick(self, now):
+        """Let time pass: sessions of entries that have not come back end."""
+        for session in list(self.sessions.values()):
+            if session.connection is None and now - session.gone_at >= RESUME_WITHIN_S:
+                self.drop_session(session, "the entry is out of reach")
+
+    def status(self, session):
+        """Return the report for one entry."""
+        worker = self.worker
+        cpu, memory, gpu = (worker.cpu, worker.memory_mb, worker.gpu) if worker else (0, 0, 0)
+        return WorkerStatus(
+            worker.id if worker else "",
+            worker.service if worker else "",
+            self.state,
+            cpu,
+            memory,
+            gpu,
+            cpu - self.cpu_used - self.cpu_queued,
+            memory - self.memory_used - self.memory_queued,
+            gpu - self.gpu_used - self.gpu_queued,
+            session.orders_seen,
+            math.exp(self.log_pace),
+            self.failing,
+            worker.labels if worker else [],
+        )
+
+
+def returned(ref, reason):
+    """Return the event of a run that never began."""
+    return TaskEvent(ref.job, ref.step, ref.index, ref.run, "returned", reason)
--- /dev/null
+++ b/onyxfork/direct/directory.py
@@ -0,0 +1,106 @@
+"""Nodes that are connected to one control instance: who they are, and what they have been sent."""
+
+from attrs import define
+
+from onyxfork.direct.messages import Directory, DirectoryNode
+
+__all__ = ["NodeDirectory"]
+
+PUSH_INTERVAL_S = 0.1
+"""Changes of the directory within this time leave as one."""
+
+KEEP_S = 10.0
+"""A node whose connection has ended stays listed this long: it may be out of reach of control
+alone, and nodes find out for themselves who is alive."""
+
+
+@define(eq=False)
+class Follower:
+    """A connected node and the version of the configuration that it holds."""
+
+    node: DirectoryNode
+    version: int
+
+
+class NodeDirectory:
+    """Feeds the nodes that are connected to this control instance.
+
+    Parameters
+    ----------
+    state : DocumentState
+    clock : Clock
+    control_addresses : callable
+        Returns the addresses of all control instances.
+    """
+
+    interval_s = PUSH_INTERVAL_S
+
+    def __init__(self, state, clock, control_addresses):
+        self.state = state
+        self.clock = clock
+        self.control_addresses = control_addresses
+        self.followers = {}
+        self.gone = {}
+        self.sent_control = []
+        self.dirty = False
+
+    def replace_state(self, state):
+        """Go on with a state that came as a snapshot."""
+        self.state = state
+
+    def register(self, connection, message):
+        """Feed a node from now on."""
+        peer = connection.peer
+        node = DirectoryNode(peer.node, peer.role, peer.zone, message.address)
+        follower = self.followers[connection] = Follower(node, message.version)
+        self.gone.pop(peer.node, None)
+        self.send_document(connection, follower)
+        connection.send(self.make_directory())
+        self.dirty = True
+
+    def drop(self, connection):
+        """Note that a connection has ended."""
+        follower = self.followers.pop(connection, None)
+        if follower is not None:
+            self.gone[follower.node.node] = (self.clock.now(), follower.node)
+
+    def flush(self):
+        """Send every node the configuration when it holds an older one."""
+        for connection, follower in self.followers.items():
+            self.send_document(connection, follower)
+
+    def send_document(self, connection, follower):
+        """Send one node the configuration when it holds an older one."""
+        if follower.version < self.state.version:
+            follower.version = self.state.version
+            connection.send(self.state.document)
+
+    def beat(self, current):
+        """Send the directory after a change."""
+        self.forget_gone()
+        control = self.control_addresses()
+        if not self.dirty and control == self.sent_control:
+            return
+        self.dirty = False
+        self.sent_control = control
+        message = self.make_directory()
+        for connection in self.followers:
+            connection.send(message)
+
+    def forget_gone(self):
+        """Forget nodes that have been away for long."""
+        now = self.clock.now()
+        for name, (gone_at, _) in list(self.gone.items()):
+            if now - gone_at > KEEP_S:
+                del self.gone[name]
+                self.dirty = True
+
+    def find_lost(self, lost_after_s):
+        """Return None: the log does not hold nodes."""
+        return None
+
+    def make_directory(self):
+        """Return the nodes known here and the control instances."""
+        nodes = {node.node: node for _, node in self.gone.values()}
+        nodes.update({follower.node.node: follower.node for follower in self.followers.values()})
+        return Directory(list(nodes.values()), self.control_addresses())
--- /dev/null
+++ b/onyxfork/direct/dispatcher.py
@@ -0,0 +1,344 @@
+"""Decisions of an entry: jobs in, orders out, news of runs in, answers out.
+
+The dispatcher reads no clock and opens no connection. Its driver hands it requests, messages and
+the time, then takes what has collected: orders and withdrawals by agent, and answered jobs.
+"""
+
+import heapq
+import logging
+from itertools import count
+from random import Random
+
+from onyxfork.direct.admission import LEAST_RETRY_AFTER_MS, Refusal, check_admission
+from onyxfork.direct.jobs import BLOCKED, DONE, PLACED, RUNNING, WAITING, make_job
+from onyxfork.direct.placement import can_ever_run, choose_worker
+from onyxfork.direct.requests import COMPLETED, FAILED, REFUSED, UNKNOWN, JobOutcome
+from onyxfork.direct.workers import PaceTable, WorkerView
+
+__all__ = ["Dispatcher"]
+
+log = logging.getLogger(__name__)
+
+LOST_AFTER_S = 1.1
+"""After this long without its agent, nothing of a run is left: the agent stops it within its
+silence limit, and the worker's lease, at most 1 s on a clock 2 % slow, has ended."""
+
+LATE_FACTOR = 3.0
+"""An answer is of use until this many latency objectives after the job's arrival."""
+
+AVOID_S = 2.0
+"""How long new work goes elsewhere after a run went wrong on a worker."""
+
+RUN_JUMP = 16
+"""Added to a run's number when the worker has seen a higher one: another entry had the job."""
+
+EXTRA_FAILURES = 2
+"""Failures on workers that fail other work too do not count against a task, up to this many."""
+
+UNSOUND_FAILING = 0.5
+"""Share of failed runs from which a worker, not the task, is taken to be at fault."""
+
+
+class Dispatcher:
+    """The jobs, tasks and workers of one entry.
+
+    Parameters
+    ----------
+    rng : random.Random, optional
+
+    Attributes
+    ----------
+    jobs : dict
+        Jobs by identifier until their last run has left its agent.
+    orders : dict
+        Orders to be sent, by agent.
+    withdrawals : dict
+        Runs to be withdrawn, by agent.
+    answered : list of Job
+        Jobs whose outcome is new.
+    """
+
+    def __init__(self, rng=None):
+        self.rng = rng or Random()
+        self.jobs = {}
+        self.workers = {}
+        self.waiting = []
+        self.waiting_tasks = set()
+        self.sequence = count()
+        self.pace = PaceTable()
+        self.cores_running = 0
+        self.orders = {}
+        self.withdrawals = {}
+        self.answered = []
+
+    # Jobs
+
+    def submit(self, request, now):
+        """Take a job or refuse it.
+
+        Parameters
+        ----------
+        request : JobRequest
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        Job or Refusal
+        """
+        job = make_job(request, now)
+        refusal = self.find_refusal(job, now)
+        if refusal is not None:
+            return refusal
+        self.jobs[job.id] = job
+        for task in job.tasks:
+            if task.state == WAITING:
+                self.queue(task)
+        self.pump(now)
+        return job
+
+    def find_refusal(self, job, now):
+        """Return why a job can not be taken, or None."""
+        if job.id in self.jobs:
+            return Refusal("a copy of the job has not ended here")
+        views = [view for view in self.workers.values() if view.is_ready]
+        if not views:
+            return Refusal("no worker is in reach")
+        for position, step in enumerate(job.request.steps):
+            if not can_ever_run(step, self.workers.values()):
+                return Refusal(f"step {position} fits no worker")
+        waiting = self.waiting_tasks
+        return check_admission(job, waiting, self.cores_running, now)
+
+    def cancel(self, job, reason):
+        """Stop a job whose caller has left; nobody is answered."""
+        if job.outcome is None:
+            self.end(job, JobOutcome(UNKNOWN, reason))
+
+    def end(self, job, outcome):
+        """Answer a job and take back what is left of it."""
+        job.outcome = outcome
+        self.answered.append(job)
+        for task in job.tasks:
+            if task.is_out:
+                self.withdraw(task)
+            elif task.state == WAITING:
+                self.waiting_tasks.discard(task)
+        self.forget_if_over(job)
+
+    def forget_if_over(self, job):
+        """Forget an answered job when none of its runs is at an agent."""
+        if job.outcome is not None and not job.has_out:
+            self.jobs.pop(job.id, None)
+
+    def give_up(self, job, reason):
+        """End a job that can not go on; say that it has not run only if that is sure."""
+        if job.begun or job.has_out:
+            self.end(job, JobOutcome(UNKNOWN, reason))
+        else:
+            self.end(job, JobOutcome(REFUSED, reason, LEAST_RETRY_AFTER_MS))
+
+    # Placement
+
+    def queue(self, task):
+        """Let a task wait for room."""
+        task.state = WAITING
+        self.waiting_tasks.add(task)
+        latest = task.job.latest_start(task)
+        heapq.heappush(self.waiting, (latest, next(self.sequence), task))
+
+    def pump(self, now):
+        """Place waiting tasks, those with the least slack first, while there is room."""
+        passed_over = []
+        while self.waiting:
+            item = heapq.heappop(self.waiting)
+            task = item[2]
+            if task not in self.waiting_tasks:
+                continue
+            view = choose_worker(task, self.workers.values(), self.pace, self.rng, now)
+            if view is None:
+                passed_over.append(item)
+                if len(passed_over) >= 4:
+                    break
+                continue
+            self.place(task, view, now)
+        for item in passed_over:
+            heapq.heappush(self.waiting, item)
+
+    def place(self, task, view, now):
+        """Order a new run of a task at a worker."""
+        self.waiting_tasks.discard(task)
+        task.run += 1
+        task.state, task.worker, task.placed_at = PLACED, view.node, now
+        task.withdrawn = False
+        if not task.job.first_placed:
+            task.job.first_placed = now
+        view.note_sent(task.spec)
+        view.tasks[task.ref.key] = task
+        self.cores_running += task.spec.cpu
+        self.orders.setdefault(view.node, []).append(task.order(now))
+
+    def withdraw(self, task):
+        """Take back a run; its agent answers with an event."""
+        if not task.withdrawn:
+            task.withdrawn = True
+            self.withdrawals.setdefault(task.worker, []).append(task.ref)
+
+    def leave_worker(self, task):
+        """Note that the latest run is not at its agent any more."""
+        view = self.workers.get(task.worker)
+        if view is not None:
+            view.tasks.pop(task.ref.key, None)
+        self.cores_running -= task.spec.cpu
+
+    # News from agents
+
+    def on_connected(self, node, zone):
+        """Take in an agent on a fresh connection; return the runs believed to be there."""
+        view = self.workers.setdefault(node, WorkerView(node, zone))
+        view.connect()
+        self.orders.pop(node, None)
+        self.withdrawals.pop(node, None)
+        return [task.ref for task in view.tasks.values() if not task.withdrawn]
+
+    def on_disconnected(self, node, now):
+        """Note that an agent is out of reach; its runs are lost unless it comes back soon."""
+        view = self.workers[node]
+        view.connected = False
+        view.lost_at = now + LOST_AFTER_S
+        self.orders.pop(node, None)
+        self.withdrawals.pop(node, None)
+
+    def on_status(self, node, status, now):
+        """Take an agent's report."""
+        self.workers[node].take_status(status)
+        if self.waiting:
+            self.pump(now)
+
+    def on_events(self, node, events, now):
+        """Take news of runs."""
+        view = self.workers[node]
+        for event in events:
+            task = view.tasks.get((event.job, event.step, event.index))
+            if task is None or task.run != event.run:
+                continue
+            HANDLERS[event.kind](self, task, view, event, now)
+        if self.waiting:
+            self.pump(now)
+
+    def on_started(self, task, view, event, now):
+        """Note that a run has begun."""
+        task.begun = True
+        task.state, task.started_at = RUNNING, now
+
+    def on_done(self, task, view, event, now):
+        """Note a task's success, and go on with what it held up."""
+        self.leave_worker(task)
+        task.begun = True
+        task.state = DONE
+        job = task.job
+        job.open_tasks[task.step] -= 1
+        if job.outcome is not None:
+            self.forget_if_over(job)
+        elif not any(job.open_tasks):
+            self.end(job, JobOutcome(COMPLETED))
+        elif not job.open_tasks[task.step]:
+            self.unblock(job)
+
+    def unblock(self, job):
+        """Let the tasks wait for room whose earlier steps are done."""
+        for task in job.tasks:
+            if task.state == BLOCKED and not any(job.open_tasks[at] for at in task.spec.after):
+                self.queue(task)
+
+    def on_failed(self, task, view, event, now):
+        """Count a failed run and try again, or fail the job."""
+        task.begun = True
+        task.failures += 1
+        unsound = view.status is not None and view.status.failing >= UNSOUND_FAILING
+        allowed = task.job.request.queue.attempts + (EXTRA_FAILURES if unsound else 0)
+        if task.job.outcome is None and task.failures >= allowed:
+            self.leave_worker(task)
+            task.state = BLOCKED
+            reason = f"task {task.step}.{task.index} failed {task.failures} times: {event.reason}"
+            self.end(task.job, JobOutcome(FAILED, reason))
+            return
+        self.run_again(task, now)
+
+    def on_ended(self, task, view, event, now):
+        """Note that a run has stopped before its end, and let the task run again."""
+        task.begun = True
+        if event.kind == "lost":
+            view.avoid_until = now + AVOID_S
+        self.run_again(task, now)
+
+    def on_returned(self, task, view, event, now):
+        """Note that a run never began."""
+        if event.reason == "old":
+            task.run += RUN_JUMP
+        if event.reason == "copy":
+            self.leave_worker(task)
+            task.state = BLOCKED
+            if task.job.outcome is None:
+                self.end(task.job, JobOutcome(UNKNOWN, "another entry holds a copy of the job"))
+            self.forget_if_over(task.job)
+            return
+        if event.reason in ("unhealthy", "unanswered"):
+            view.avoid_until = now + AVOID_S
+        self.run_again(task, now)
+
+    def run_again(self, task, now):
+        """Let a task whose run has ended wait for room once more."""
+        run = task.run
+        self.leave_worker(task)
+        task.avoid.add(task.worker)
+        task.run = run
+        if task.job.outcome is None:
+            self.queue(task)
+        else:
+            task.state = BLOCKED
+            self.forget_if_over(task.job)
+
+    # Time
+
+    def tick(self, now):
+        """Let time pass: lost agents, jobs past use, callers that have stopped waiting."""
+        for view in self.workers.values():
+            if not view.connected and view.tasks and now >= view.lost_at:
+                self.lose_runs(view, now)
+        for job in list(self.jobs.values()):
+            if job.outcome is None:
+                self.check_time(job, now)
+        self.pace.refresh(self.workers.values())
+        if self.waiting:
+            self.pump(now)
+
+    def lose_runs(self, view, now):
+        """Let the runs at an agent that has not come back run elsewhere."""
+        log.warning("agent lost", extra={"agent": view.node, "runs": len(view.tasks)})
+        for task in list(view.tasks.values()):
+            task.begun = True
+            self.run_again(task, now)
+
+    def check_time(self, job, now):
+        """End a job that is of no use any more."""
+        if now >= job.deadline:
+            self.give_up(job, "the caller's patience has ended")
+        elif not job.first_placed and now > min(map(job.latest_start, job.tasks)):
+            self.give_up(job, "no room in time")
+        elif now >= job.late_limit(LATE_FACTOR) and not self.is_running(job):
+            self.give_up(job, "too late to be of use")
+
+    def is_running(self, job):
+        """Return whether every open task of a job runs."""
+        return all(task.state in (RUNNING, DONE) for task in job.tasks)
+
+
+HANDLERS = {
+    "started": Dispatcher.on_started,
+    "done": Dispatcher.on_done,
+    "failed": Dispatcher.on_failed,
+    "stopped": Dispatcher.on_ended,
+    "lost": Dispatcher.on_ended,
+    "returned": Dispatcher.on_returned,
+}
--- /dev/null
+++ b/onyxfork/direct/entry.py
@@ -0,0 +1,286 @@
+"""The entry of direct dispatch: drives a `Dispatcher` between callers and agents."""
+
+import asyncio
+import logging
+from contextlib import asynccontextmanager
+
+from onyxfork.direct.admission import Refusal
+from onyxfork.direct.dispatcher import Dispatcher
+from onyxfork.direct.links import ControlLinks, Dialer
+from onyxfork.direct.messages import (
+    Place,
+    Resume,
+    Sighted,
+    TaskEvents,
+    Withdraw,
+    WorkerStatus,
+)
+from onyxfork.direct.requests import REFUSED, JobOutcome
+from onyxfork.errors import ProtocolError
+from onyxfork.messages import serve
+from onyxfork.utils import owned_tasks
+
+__all__ = ["DirectEntry", "run_entry"]
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.02
+LEAST_DRAIN_S = 2.5
+"""The balancer notices within two checks, a second apart, that an entry is not ready."""
+
+LAST_INTAKE_S = 3.0
+"""After this long into a planned stop a new job is refused, since it could not end in time."""
+
+
+class DirectEntry:
+    """An entry.
+
+    Parameters
+    ----------
+    settings : DirectSettings
+    clock : Clock
+    telemetry : Telemetry
+    """
+
+    def __init__(self, settings, clock, telemetry):
+        self.settings = settings
+        self.clock = clock
+        self.telemetry = telemetry
+        self.dispatcher = Dispatcher()
+        self.control = ControlLinks(settings, clock, self.hello, telemetry)
+        self.control.on_directory.append(self.follow_directory)
+        self.connections = {}
+        self.dialers = {}
+        self.answers = {}
+        self.stopping_at = None
+        self.spawn = None
+        telemetry.gauge("jobs_inside", lambda: len(self.dispatcher.jobs))
+        telemetry.gauge("tasks_waiting", lambda: len(self.dispatcher.waiting_tasks))
+
+    def hello(self):
+        """Return what this process says of itself."""
+        return self.settings.hello("entry", self.clock.now())
+
+    @property
+    def is_ready(self):
+        """Whether the balancer may send new connections here."""
+        ready = any(view.is_ready for view in self.dispatcher.workers.values())
+        return self.stopping_at is None and self.control.document is not None and ready
+
+    # Callers
+
+    async def run_job(self, request):
+        """Run a job and return its `JobOutcome`; cancelling this stops the job.
+
+        Parameters
+        ----------
+        request : JobRequest
+        """
+        now = self.clock.now()
+        if self.stopping_at is not None and now - self.stopping_at > LAST_INTAKE_S:
+            return self.refuse(request, Refusal("this entry is about to stop"))
+        taken = self.dispatcher.submit(request, now)
+        if isinstance(taken, Refusal):
+            return self.refuse(request, taken)
+        future = asyncio.get_running_loop().create_future()
+        self.answers[taken] = future
+        self.flush()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.dispatcher.cancel(taken, "the caller has left")
+            self.flush()
+            raise
+        finally:
+            self.answers.pop(taken, None)
+
+    def refuse(self, request, refusal):
+        """Return and log the refusal of a job that was never taken."""
+        views = self.dispatcher.workers.values()
+        fields = {
+            "job": request.job,
+            "queue": request.queue.name,
+            "outcome": REFUSED,
+            "reason": refusal.reason,
+            "retry_after_ms": round(refusal.retry_after_ms),
+            "configuration": self.control.document.version if self.control.document else 0,
+            "workers_ready": sum(view.is_ready for view in views),
+            "tasks_waiting": len(self.dispatcher.waiting_tasks),
+            "cores_running": self.dispatcher.cores_running / 1000,
+        }
+        log.info("job refused", extra=fields)
+        self.telemetry.count("jobs", queue=request.queue.name, state=REFUSED)
+        return JobOutcome(REFUSED, refusal.reason, refusal.retry_after_ms)
+
+    # Agents
+
+    def follow_directory(self):
+        """Keep a connection to each agent that is known."""
+        known = {node.node: node for node in self.control.nodes_of("agent")}
+        for name, node in known.items():
+            dialing = self.dialers.get(name)
+            if dialing is not None and dialing[0] != node.address:
+                self.dialers.pop(name)[1].cancel()
+                dialing = None
+            if dialing is None:
+                task = self.spawn(self.make_dialer(node).run())
+                self.dialers[name] = (node.address, task)
+        for name in list(self.dialers):
+            if name not in known and name not in self.connections:
+                self.dialers.pop(name)[1].cancel()
+
+    def make_dialer(self, node):
+        """Return the dialer of one agent."""
+        return Dialer(
+            node.address,
+            self.hello,
+            self.settings.timing,
+            lambda connection: self.opened(node, connection),
+            lambda connection, item: self.take(node.node, item),
+            lambda connection, reason: self.closed(node.node, connection, reason),
+        )
+
+    def opened(self, node, connection):
+        """Tell an agent what it is believed to run."""
+        refs = self.dispatcher.on_connected(node.node, node.zone)
+        self.connections[node.node] = connection
+        connection.send(Resume(refs))
+        log.info("agent connected", extra={"agent": node.node, "runs": len(refs)})
+
+    def closed(self, name, connection, reason):
+        """Note that an agent is out of reach."""
+        if self.connections.get(name) is not connection:
+            return
+        del self.connections[name]
+        runs = len(self.dispatcher.workers[name].tasks)
+        log.info("agent disconnected", extra={"agent": name, "reason": reason, "runs": runs})
+        self.dispatcher.on_disconnected(name, self.clock.now())
+
+    def take(self, name, item):
+        """Take one message of an agent."""
+        now = self.clock.now()
+        if isinstance(item, WorkerStatus):
+            self.note_status(name, item)
+            self.dispatcher.on_status(name, item, now)
+        elif isinstance(item, TaskEvents):
+            self.dispatcher.on_events(name, item.events, now)
+        else:
+            raise ProtocolError(f"unexpected {type(item).__name__}")
+        self.flush()
+
+    def note_status(self, name, status):
+        """Log a change of a worker's state."""
+        before = self.dispatcher.workers[name].status
+        if before is None or (before.state, before.worker) != (status.state, status.worker):
+            fields = {
+                "agent": name,
+                "worker": status.worker,
+                "state": status.state,
+                "before": before.state if before else "",
+            }
+            log.info("worker state", extra=fields)
+
+    # Output
+
+    def flush(self):
+        """Send what the dispatcher has decided, and answer callers."""
+        dispatcher = self.dispatcher
+        if dispatcher.withdrawals:
+            withdrawals, dispatcher.withdrawals = dispatcher.withdrawals, {}
+            for name, refs in withdrawals.items():
+                self.send(name, Withdraw(refs))
+        if dispatcher.orders:
+            orders, dispatcher.orders = dispatcher.orders, {}
+            for name, items in orders.items():
+                self.send(name, Place(items))
+        if dispatcher.answered:
+            answered, dispatcher.answered = dispatcher.answered, []
+            for job in answered:
+                self.answer(job)
+
+    def send(self, name, message):
+        """Send an agent a message; without a connection the agent learns it when it is back."""
+        connection = self.connections.get(name)
+        if connection is not None:
+            connection.send(message)
+
+    def answer(self, job):
+        """Hand a job's outcome to its caller and log it."""
+        now = self.clock.now()
+        outcome, queue = job.outcome, job.request.queue.name
+        elapsed_ms = (now - job.arrived) * 1000
+        placed_ms = (job.first_placed - job.arrived) * 1000 if job.first_placed else None
+        fields = {
+            "job": job.id,
+            "queue": queue,
+            "outcome": outcome.state,
+            "reason": outcome.reason,
+            "elapsed_ms": round(elapsed_ms, 1),
+            "placed_ms": None if placed_ms is None else round(placed_ms, 1),
+            "objective_ms": round((job.due - job.arrived) * 1000),
+            "tasks": len(job.tasks),
+            "runs": sum(task.run for task in job.tasks),
+            "configuration": self.control.document.version if self.control.document else 0,
+        }
+        log.info("job ended", extra=fields)
+        self.telemetry.count("jobs", queue=queue, state=outcome.state)
+        self.telemetry.observe("job_ms", elapsed_ms, queue=queue)
+        future = self.answers.get(job)
+        if future is not None and not future.done():
+            future.set_result(outcome)
+
+    # Time
+
+    async def keep_time(self):
+        """Let the dispatcher see time pass."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.dispatcher.tick(self.clock.now())
+            self.flush()
+
+    async def accept(self, connection):
+        """Take the word of an agent that this entry does not know."""
+        await connection.run(self.on_sighted)
+
+    def on_sighted(self, connection, item):
+        """Take in an agent, and its configuration while there is none from control."""
+        if not isinstance(item, Sighted):
+            raise ProtocolError(f"unexpected {type(item).__name__}")
+        self.control.note_sighted(item.agent)
+        if item.document is not None:
+            self.control.take_document(item.document, item.agent.node)
+
+    async def stop(self):
+        """Stop as planned: leave the balancer's rotation, then let what is inside end."""
+        self.stopping_at = self.clock.now()
+        until = self.stopping_at + self.settings.drain_s
+        while self.clock.now() < until:
+            waited = self.clock.now() - self.stopping_at
+            if waited >= LEAST_DRAIN_S and not self.answers:
+                return
+            await asyncio.sleep(TICK_S)
+        log.warning("stopped with jobs inside", extra={"jobs": len(self.answers)})
+
+
+@asynccontextmanager
+async def run_entry(entry):
+    """Run an entry while the context is open.
+
+    Parameters
+    ----------
+    entry : DirectEntry
+
+    Yields
+    ------
+    DirectEntry
+    """
+    settings = entry.settings
+    listen = settings.listen
+    server = serve(listen.host, listen.port, entry.hello, settings.timing, entry.accept)
+    async with owned_tasks() as spawn:
+        entry.spawn = spawn
+        entry.control.register(str(listen))
+        async with server:
+            spawn(entry.control.run(spawn))
+            spawn(entry.keep_time())
+            yield entry
--- /dev/null
+++ b/onyxfork/direct/placement.py
@@ -0,0 +1,68 @@
+"""Which worker gets a task."""
+
+__all__ = ["choose_worker", "can_ever_run"]
+
+CROWDING_WEIGHT = 0.15
+"""Share of a run time that a full worker counts as slower than an empty one; spreads the work."""
+
+JITTER = 0.05
+"""Share of a run time that is drawn at random, so that entries with the same view part ways."""
+
+RACK_FACTOR = 1.5
+"""Run time away from the rack that holds a task's data, in multiples of that on it."""
+
+FAILING_PENALTY = 4.0
+"""Run times that a failing worker counts as slower, times the share of its runs that failed."""
+
+
+def can_ever_run(step, views):
+    """Return whether any known worker is large enough for a task of `step`."""
+    return any(view.could_run(step) for view in views if view.status is not None)
+
+
+def cost(task, view, pace, rng, now):
+    """Return the expected run time of a task on a worker, in multiples of its estimate."""
+    step, status = task.spec, view.status
+    value = pace.relative(view)
+    if step.rack and step.rack not in status.labels:
+        value *= RACK_FACTOR
+    if status.cpu:
+        value += CROWDING_WEIGHT * (1 - view.cpu_free / status.cpu)
+    value += FAILING_PENALTY * status.failing
+    if view.avoid_until > now or view.node in task.avoid:
+        value += FAILING_PENALTY
+    return value + JITTER * rng.random()
+
+
+def choose_worker(task, views, pace, rng, now):
+    """Return the worker with room on which a task would end first, or None.
+
+    Parameters
+    ----------
+    task : Task
+    views : iterable of WorkerView
+    pace : PaceTable
+    rng : random.Random
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    WorkerView or None
+    """
+    best, best_cost = None, float("inf")
+    step = task.spec
+    for view in views:
+        if not view.is_ready or not view.has_room(step):
+            continue
+        if step.most_per_worker and count_of_step(task, view) >= step.most_per_worker:
+            continue
+        value = cost(task, view, pace, rng, now)
+        if value < best_cost:
+            best, best_cost = view, value
+    return best
+
+
+def count_of_step(task, view):
+    """Return how many tasks of the same step are at a worker."""
+    return sum(1 for job, step, _ in view.tasks if job == task.job.id and step == task.step)
--- /dev/null
+++ b/onyxfork/direct/settings.py
@@ -0,0 +1,54 @@
+"""Settings that entries, agents and control instances of direct dispatch share."""
+
+from uuid import uuid4
+
+from attrs import define, field
+
+from onyxfork.messages import PROTOCOL_VERSION, Hello, Timing
+from onyxfork.settings import Address
+
+__all__ = ["DirectSettings", "NODE_TIMING"]
+
+NODE_TIMING = Timing(heartbeat_s=0.2, suspect_s=0.45, silent_s=0.7)
+"""A peer that is silent for 0.7 s is given up: a caller sends a job again 1.3 s after a broken
+connection, and by then an agent has to have stopped what a lost entry ordered."""
+
+
+@define
+class DirectSettings:
+    """Settings of one process.
+
+    Parameters
+    ----------
+    node, zone, cluster : str
+    listen : Address
+        For the other processes of the cluster.
+    control : list of Address
+        Control instances that are known from the start; more are learned from them.
+    lease_ms : float
+        The longest lease that a worker grants.
+    drain_s : float
+        How long a planned stop may wait for work inside.
+    """
+
+    node: str
+    zone: str
+    cluster: str
+    listen: Address
+    control: list[Address]
+    lease_ms: float = 1000.0
+    drain_s: float = 5.0
+    timing: Timing = NODE_TIMING
+    incarnation: str = field(factory=lambda: uuid4().hex[:12])
+
+    def hello(self, role, now):
+        """Return what a process of these settings says of itself."""
+        return Hello(
+            version=PROTOCOL_VERSION,
+            cluster=self.cluster,
+            role=role,
+            node=self.node,
+            incarnation=self.incarnation,
+            zone=self.zone,
+            clock=now,
+        )
--- /dev/null
+++ b/onyxfork/direct/telemetry.py
@@ -0,0 +1,101 @@
+"""Counters and latency histograms of one process.
+
+Recording costs a dictionary access. The exporter's library is imported with the first scrape, so
+that a process which nobody scrapes does not hold it in memory.
+"""
+
+from bisect import bisect_left
+from collections import Counter
+
+__all__ = ["Telemetry", "BUCKETS_MS"]
+
+BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 300, 500, 750, 1000, 2000, 3000, 5000, 10000)
+
+
+class Telemetry:
+    """Instruments of one process.
+
+    Parameters
+    ----------
+    role, node, zone : str
+        Labels of every series.
+    """
+
+    def __init__(self, role, node, zone):
+        self.labels = {"role": role, "node": node, "zone": zone}
+        self.counters = Counter()
+        self.buckets = {}
+        self.sums = Counter()
+        self.gauges = {}
+
+    def count(self, name, amount=1, **labels):
+        """Add to a counter."""
+        self.counters[name, tuple(labels.items())] += amount
+
+    def observe(self, name, value_ms, **labels):
+        """Add a value to a histogram of milliseconds."""
+        key = name, tuple(labels.items())
+        cells = self.buckets.get(key)
+        if cells is None:
+            cells = self.buckets[key] = [0] * (len(BUCKETS_MS) + 1)
+        cells[bisect_left(BUCKETS_MS, value_ms)] += 1
+        self.sums[key] += value_ms
+
+    def gauge(self, name, read):
+        """Register a gauge that calls `read` when scraped."""
+        self.gauges[name] = read
+
+    def counter_for(self, peer_role):
+        """Return a function that counts the messages of a connection."""
+
+        def count(direction, item, frame_bytes):
+            self.counters["messages", (("direction", direction), ("peer", peer_role))] += 1
+
+        return count
+
+    def collect(self):
+        """Yield the metric families of a scrape."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        for (name, labels), value in sorted(self.counters.items()):
+            names, values = self.label_columns(labels)
+            family = CounterMetricFamily(f"onyxfork_{name}", name, labels=names)
+            family.add_metric(values, value)
+            yield family
+        for (name, labels), cells in sorted(self.buckets.items()):
+            names, values = self.label_columns(labels)
+            family = HistogramMetricFamily(f"onyxfork_{name}", name, labels=names)
+            family.add_metric(values, cumulative(cells), self.sums[name, labels])
+            yield family
+        for name, read in self.gauges.items():
+            names, values = self.label_columns(())
+            family = GaugeMetricFamily(f"onyxfork_{name}", name, labels=names)
+            family.add_metric(values, read())
+            yield family
+
+    def label_columns(self, labels):
+        """Return names and values of a series' labels."""
+        merged = {**self.labels, **dict(labels)}
+        return list(merged), [str(value) for value in merged.values()]
+
+    def render(self):
+        """Return the text for a scrape and its content type."""
+        from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry), CONTENT_TYPE_LATEST
+
+
+def cumulative(cells):
+    """Return the buckets of a histogram as (upper bound, values up to it)."""
+    bounds = [*map(str, BUCKETS_MS), "+Inf"]
+    total, rows = 0, []
+    for bound, cell in zip(bounds, cells, strict=True):
+        total += cell
+        rows.append((bound, total))
+    return rows
--- /dev/null
+++ b/onyxfork/platform/callers.py
@@ -0,0 +1,109 @@
+"""Callers' requests: jobs in, answers out, and the balancer's readiness checks."""
+
+import logging
+import math
+
+from aiohttp import web
+
+from onyxfork.direct.configuration import QueueTable, RequestLimits
+from onyxfork.direct.requests import COMPLETED, FAILED, REFUSED
+from onyxfork.platform.configuration import decode_configuration
+from onyxfork.platform.http import json_answer
+from onyxfork.platform.jobs import UNSUPPORTED, decode_job, is_job_id
+
+__all__ = ["Callers"]
+
+log = logging.getLogger(__name__)
+
+RETRY_SOON_S = 1
+PATIENCE_HEADER = "X-Deadline"
+"""Holds how long the caller waits, in milliseconds from its sending, not a moment."""
+
+
+class Callers:
+    """The address that callers reach.
+
+    Parameters
+    ----------
+    entry : DirectEntry
+    """
+
+    def __init__(self, entry):
+        self.entry = entry
+        self.table = None
+        self.limits = RequestLimits()
+        entry.control.on_document.append(self.take_document)
+
+    def take_document(self, document):
+        """Put a configuration in force."""
+        decoded = decode_configuration(document.body)
+        if decoded.is_err():
+            log.error(
+                "configuration not readable",
+                extra={"version": document.version, "reason": decoded.err_value},
+            )
+            return
+        self.table = QueueTable(decoded.ok_value.queues)
+        self.limits = decoded.ok_value.limits
+
+    async def handle_ready(self, _):
+        """Answer the balancer's check."""
+        return web.Response(status=200 if self.entry.is_ready else 503)
+
+    async def handle(self, request):
+        """Answer a caller."""
+        response = await self.route(request)
+        if self.entry.stopping_at is not None:
+            response.force_close()
+        return response
+
+    async def route(self, request):
+        """Find the queue of a request and what is asked of it."""
+        if self.table is None:
+            return refusal("there is no configuration yet", RETRY_SOON_S)
+        host = request.headers.get("Host", "").rpartition(":")[0] or request.headers.get("Host", "")
+        queue = self.table.find(host, request.path)
+        if queue is None:
+            return json_answer(404, {"error": "no such queue"})
+        rest = request.path[len(queue.prefix) :]
+        if request.method == "POST" and is_job_id(rest):
+            return await self.run_job(request, queue, rest)
+        if request.method == "GET" and not rest:
+            return json_answer(200, {"waiting": 0})
+        if request.method in ("GET", "DELETE") and is_job_id(rest):
+            return json_answer(410, {"error": "no such job"})
+        return json_answer(404, {"error": "no such resource"})
+
+    async def run_job(self, request, queue, job):
+        """Run a job and answer with its end."""
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            body = None
+        if body is None or len(body) > self.limits.body_bytes:
+            return json_answer(413, {"error": f"body over {self.limits.body_bytes} bytes"})
+        decoded = decode_job(job, queue, body, request.headers.get(PATIENCE_HEADER))
+        if decoded.is_err():
+            log.info("job not taken", extra={"job": job, "reason": decoded.err_value})
+            if decoded.err_value.startswith(UNSUPPORTED):
+                return refusal(decoded.err_value, None)
+            return json_answer(400, {"error": decoded.err_value})
+        return encode_outcome(await self.entry.run_job(decoded.ok_value))
+
+
+def refusal(reason, retry_after_s):
+    """Return the answer to a job that has not run and will not."""
+    headers = None if retry_after_s is None else {"Retry-After": str(retry_after_s)}
+    return json_answer(503, {"error": reason}, headers)
+
+
+def encode_outcome(outcome):
+    """Return the answer to a caller.
+
+    A caller takes 503 as never run, and 504 as not known, after which it may send the job again.
+    """
+    if outcome.state in (COMPLETED, FAILED):
+        return json_answer(200, {"state": outcome.state})
+    if outcome.state == REFUSED:
+        return refusal(outcome.reason, max(1, math.ceil(outcome.retry_after_ms / 1000)))
+    return json_answer(504, {"error": outcome.reason})
--- /dev/null
+++ b/onyxfork/platform/http.py
@@ -0,0 +1,57 @@
+"""HTTP servers of the adapter, on the library's bare server: few routes, little memory."""
+
+import json
+import logging
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+
+__all__ = ["run_server", "json_answer"]
+
+log = logging.getLogger(__name__)
+
+MOST_HEADER_BYTES = 16384
+SHUTDOWN_S = 0.3
+
+
+@asynccontextmanager
+async def run_server(handler, address, idle_timeout_s=60.0, backlog=512):
+    """Serve a handler while the context is open.
+
+    A request whose caller has left is cancelled.
+
+    Parameters
+    ----------
+    handler : coroutine function
+        Takes a request, returns a response.
+    address : Address
+    idle_timeout_s : float
+        How long an open connection may wait for its next request.
+    """
+    server = web.Server(
+        handler,
+        access_log=None,
+        keepalive_timeout=idle_timeout_s,
+        max_line_size=MOST_HEADER_BYTES,
+        max_field_size=MOST_HEADER_BYTES,
+    )
+    runner = web.ServerRunner(
+        server, handle_signals=False, handler_cancellation=True, shutdown_timeout=SHUTDOWN_S
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, address.host, address.port, backlog=backlog)
+    await site.start()
+    try:
+        yield runner
+    finally:
+        await runner.cleanup()
+
+
+def json_answer(status, body, headers=None):
+    """Return a response with a JSON body."""
+    return web.Response(
+        status=status,
+        body=json.dumps(body).encode(),
+        content_type="application/json",
+        headers=headers,
+    )
--- /dev/null
+++ b/onyxfork/platform/operators.py
@@ -0,0 +1,55 @@
+"""The operator's calls at a control instance."""
+
+import json
+import logging
+
+from aiohttp import web
+
+from onyxfork.platform.configuration import decode_configuration
+from onyxfork.platform.http import json_answer
+
+__all__ = ["Operators"]
+
+log = logging.getLogger(__name__)
+
+
+class Operators:
+    """The address that operators reach.
+
+    Parameters
+    ----------
+    replica : DocumentReplica
+    """
+
+    def __init__(self, replica):
+        self.replica = replica
+
+    async def handle(self, request):
+        """Answer an operator."""
+        if request.path == "/config" and request.method == "PUT":
+            return await self.put(request)
+        if request.path == "/config" and request.method == "GET":
+            return await self.get()
+        if request.path.startswith("/instances/"):
+            return json_answer(503, {"error": "workers report to the agent on their machine"})
+        return json_answer(404, {"error": "no such resource"})
+
+    async def put(self, request):
+        """Have a configuration agreed on."""
+        body = await request.read()
+        decoded = decode_configuration(body)
+        if decoded.is_err():
+            log.info("configuration refused", extra={"reason": decoded.err_value})
+            return json_answer(400, {"error": decoded.err_value})
+        version = decoded.ok_value.version
+        if await self.replica.configure(version, json.dumps(json.loads(body)).encode()):
+            return json_answer(200, {"version": version})
+        log.info("configuration not agreed on in time", extra={"version": version})
+        return json_answer(503, {"error": "not agreed on in time; send it again"})
+
+    async def get(self):
+        """Return the newest configuration."""
+        document = await self.replica.read_document()
+        if document is None:
+            return json_answer(503, {"error": "not sure which configuration is the newest"})
+        return web.Response(body=document.body, content_type="application/json")
--- /dev/null
+++ b/onyxfork/platform/settings.py
@@ -0,0 +1,175 @@
+"""The platform's settings file, as settings of onyxfork's own."""
+
+import os
+import tomllib
+from pathlib import Path
+
+from attrs import define
+
+from onyxfork.direct.settings import DirectSettings
+from onyxfork.errors import SettingsError
+from onyxfork.platform.fields import FieldError, items, number, read_object, text, whole
+from onyxfork.settings import Address, ControlSettings, TimingSettings
+
+__all__ = ["PlatformSettings", "load_platform_settings", "SETTINGS_VARIABLE"]
+
+SETTINGS_VARIABLE = "ONYXFORK_BOOT"
+CLUSTER = "platform"
+CONTROL_PORT, AGENT_PORT, ENTRY_PORT = 0, 1, 2
+"""Positions within the machine's range of internal ports."""
+
+DRAIN_RESERVE_S = 0.7
+"""Kept of the time before SIGKILL, for the process to end by itself."""
+
+
+@define(frozen=True)
+class PlatformSettings:
+    """What the settings file says, decoded.
+
+    Parameters
+    ----------
+    node, zone, host : str
+        Name of the machine, its availability zone, its IP number.
+    internal_ports : tuple of (int, int)
+        First and last port for the project's own protocol.
+    seeds : list of str
+        ``ip:port`` of control instances as the operator sees them.
+    first_start : bool
+        The whole system starts with empty disks.
+    data_folder : str
+    callers, readiness, reports : Address or None
+        Where callers, the balancer's checks, and workers or operators arrive.
+    worker : Address or None
+        Where the worker of this machine takes orders.
+    service : str
+        The service of that worker.
+    lease_ms : float
+        Longest lease that a worker grants.
+    grace_s : float
+        From SIGTERM to SIGKILL.
+    losses : int
+        Disks that may be lost at the same time.
+    """
+
+    node: str
+    zone: str
+    host: str
+    internal_ports: tuple
+    seeds: list
+    first_start: bool
+    data_folder: str
+    callers: Address | None
+    readiness: Address | None
+    reports: Address | None
+    worker: Address | None
+    service: str
+    lease_ms: float
+    grace_s: float
+    losses: int
+
+    def internal(self, position, host=None):
+        """Return an internal address of this or another machine."""
+        return Address(host or self.host, self.internal_ports[0] + position)
+
+    def control_instances(self):
+        """Return the internal addresses of the seeds; ports are the same on every machine."""
+        return [self.internal(CONTROL_PORT, parse(seed).host) for seed in self.seeds]
+
+    def direct(self, position):
+        """Return the settings of an entry or agent."""
+        return DirectSettings(
+            node=self.node,
+            zone=self.zone,
+            cluster=CLUSTER,
+            listen=self.internal(position),
+            control=self.control_instances(),
+            lease_ms=self.lease_ms,
+            drain_s=self.grace_s - DRAIN_RESERVE_S,
+        )
+
+    def control(self):
+        """Return the settings of a control instance; instances are named by their address."""
+        listen = self.internal(CONTROL_PORT)
+        timing = NODE_TIMING_SETTINGS
+        members = {str(address): address for address in [*self.control_instances(), listen]}
+        return ControlSettings(
+            role="control",
+            node=str(listen),
+            cluster=CLUSTER,
+            zone=self.zone,
+            listen=listen,
+            http=self.reports,
+            data_folder=self.data_folder,
+            members=members,
+            most_voters=2 * self.losses + 1,
+            timing=timing,
+        )
+
+    def is_first_member(self):
+        """Whether this instance is one of those that form the first quorum."""
+        return self.first_start and self.internal(CONTROL_PORT) in self.control_instances()
+
+
+NODE_TIMING_SETTINGS = TimingSettings(heartbeat_s=0.2, suspect_s=0.45, silent_s=0.7)
+
+
+def parse(value):
+    """Return the `Address` in ``ip:port``."""
+    host, _, port = value.rpartition(":")
+    try:
+        return Address(host, int(port))
+    except ValueError as error:
+        raise FieldError(f"{value!r}: {error}") from None
+
+
+def optional_address(data, key):
+    """Return the `Address` under a key, or None."""
+    value = text(data, key, "")
+    return parse(value) if value else None
+
+
+def decode_settings(data):
+    """Return the `PlatformSettings` in a decoded file.
+
+    Raises
+    ------
+    FieldError
+    """
+    bounds = read_object(data.get("bounds", {}), "bounds")
+    listen = read_object(data.get("listen", {}), "listen")
+    tolerated = read_object(data.get("faultTolerance", {}), "faultTolerance")
+    ports = items(data, "internalPorts")
+    if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
+        raise FieldError("internalPorts: expected two ports")
+    return PlatformSettings(
+        node=text(data, "node"),
+        zone=text(data, "zone"),
+        host=text(data, "ip"),
+        internal_ports=tuple(ports),
+        seeds=[str(seed) for seed in items(data, "seeds")],
+        first_start=bool(data.get("bootstrap", False)),
+        data_folder=text(data, "dataDir", ""),
+        callers=optional_address(listen, "front"),
+        readiness=optional_address(listen, "ready"),
+        reports=optional_address(listen, "control"),
+        worker=optional_address(data, "app"),
+        service=text(data, "service", ""),
+        lease_ms=number(bounds, "holdMaxMs", 1000),
+        grace_s=number(bounds, "graceS", 6),
+        losses=whole(tolerated, "machines", 1),
+    )
+
+
+def load_platform_settings(path=None):
+    """Return the settings in the platform's file.
+
+    Raises
+    ------
+    SettingsError
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE, "/etc/onyxfork/boot.toml")
+    try:
+        data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        return decode_settings(data)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, FieldError) as error:
+        raise SettingsError([f"{path}: {error}"]) from None
--- a/onyxfork/settings.py
+++ b/onyxfork/settings.py
@@ -161,6 +161,7 @@
     snapshot_bytes: int = field(default=1024 * 1024, validator=POSITIVE, kw_only=True)
     lost_after_s: float = field(default=15.0, validator=POSITIVE, kw_only=True)
     initial_token: str = field(default="", kw_only=True, repr=False)
+    most_voters: int = field(default=9, validator=POSITIVE, kw_only=True)
 
 
 @define
