--- a/onyxfork/control/raft.py
+++ b/onyxfork/control/raft.py
@@ -196,6 +196,8 @@
                 self.transfer_to = None
         elif now >= self.election_at and self.is_voter:
             self.start_election(now, pre=True)
+        elif now >= self.election_at:
+            self.reset_election(now)
 
     def next_wake(self):
         """Return when :meth:`tick` is due, in the driver's seconds."""
--- a/onyxfork/control/storage.py
+++ b/onyxfork/control/storage.py
@@ -236,8 +236,8 @@
     return None
 
 
-def load_identity(folder, cluster, node, identity):
-    """Return the replica's identity and whether the folder is new.
+def load_identity(folder, cluster, node, identity, members):
+    """Return the replica's identity, its first members, and whether the folder is new.
 
     Raises
     ------
@@ -248,18 +248,19 @@
     if not path.exists():
         if any(folder.glob("log-*")) or any(folder.glob("snapshot-*")):
             raise ForeignDataError(f"{folder}: log files without an identity file")
-        write_file(path, encode_record([cluster, node, identity]))
-        return identity, True
+        write_file(path, encode_record([cluster, node, identity, unstructure(members)]))
+        return identity, members, True
     found = read_record(path.read_bytes(), 0)
     if found is None:
         raise CorruptLogError(f"{path}: damaged identity file")
-    (known_cluster, known_node, known_identity), _ = found
+    (known_cluster, known_node, known_identity, *first), _ = found
     if (known_cluster, known_node) != (cluster, node):
         raise ForeignDataError(
             f"{folder}: belongs to replica {known_node!r} of cluster {known_cluster!r}, "
             f"not to {node!r} of {cluster!r}"
         )
-    return known_identity, False
+    # Folders of earlier versions hold no members: their settings name them at every start.
+    return known_identity, structure(first[0], Members) if first else members, False
 
 
 def load_snapshot(folder):
@@ -300,8 +301,9 @@
     folder.mkdir(parents=True, exist_ok=True)
     for leftover in folder.glob("*.tmp"):
         leftover.unlink()
-    identity, is_new = load_identity(folder, cluster, node, new_identity)
-    recovered = Recovered(identity, is_new, initial_members, None, RaftLog())
+    found = load_identity(folder, cluster, node, new_identity, initial_members)
+    identity, members, is_new = found
+    recovered = Recovered(identity, is_new, members, None, RaftLog())
     snapshot = load_snapshot(folder)
     if snapshot is not None:
         index, term, recovered.members, recovered.state = snapshot
--- a/tests/control/test_raft.py
+++ b/tests/control/test_raft.py
@@ -2,6 +2,7 @@
 
 import sys
 from pathlib import Path
+from random import Random
 
 import pytest
 from hypothesis import Phase, settings
@@ -12,7 +13,7 @@
 from onyxfork.control.raft_messages import Members, VoteReply
 
 sys.path.insert(0, str(Path(__file__).parent))
-from raft_network import Network, Violation  # noqa: E402
+from raft_network import Disk, Network, Violation  # noqa: E402
 
 NAMES = st.sampled_from(["r0#0", "r1#0", "r2#0"])
 BUDGET = settings(max_examples=60, stateful_step_count=60, deadline=None)
@@ -234,3 +235,50 @@
     voters = leader.members.voters
     assert leader.change_members(Members(voters, {"a#1": "a"}), network.now) is not None
     assert leader.change_members(Members(voters, {"b#1": "b"}), network.now) is None
+
+
+def test_replica_without_a_vote_waits_instead_of_waking_at_once():
+    raft = Raft("r9#0", Members({"r0#0": "r0"}), rng=Random(1), now=0.0)
+    late = raft.next_wake() + 5.0
+    raft.tick(late)
+    assert raft.next_wake() > late
+
+
+def network_with_learner():
+    """Return a network of three voters at most, its leader's name, and a learner beside them."""
+    network = Network()
+    network.disks["r3#0"] = Disk(members=Members())
+    network.start("r3#0")
+    for raft in network.rafts.values():
+        raft.most_voters = 3
+    pass_time(network, 30)
+    leader = network.leader()
+    learners = Members(leader.members.voters, {"r3#0": "r3#0"})
+    assert leader.change_members(learners, network.now) is not None
+    network.process(leader.me)
+    return network
+
+
+def pass_time(network, steps):
+    for _ in range(steps):
+        network.advance(0.1)
+        network.settle(200)
+
+
+def test_learner_takes_the_place_of_a_voter_out_of_reach_when_there_are_enough_voters():
+    network = network_with_learner()
+    pass_time(network, 10)
+    leader = network.leader().me
+    network.crash(next(name for name in network.rafts if name not in (leader, "r3#0")))
+    pass_time(network, 60)
+    members = network.leader().members
+    assert set(members.voters) == set(network.rafts)
+    assert members.learners == {}
+
+
+def test_learner_stays_one_while_every_voter_is_in_reach():
+    network = network_with_learner()
+    pass_time(network, 60)
+    members = network.leader().members
+    assert len(members.voters) == 3
+    assert list(members.learners) == ["r3#0"]
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -90,3 +90,8 @@
         storage.log_file = open("/dev/full", "ab", buffering=0)
         result = storage.write(None, [Entry(1, 1, 0, b"x")])
     assert result.is_err() and "No space left" in result.err_value
+
+
+def test_first_members_are_known_after_a_restart_that_does_not_name_them(tmp_path):
+    write_entries(tmp_path, 1)
+    assert read_back(tmp_path).members == MEMBERS
