Tests of direct dispatch and the adapter; short connects; jobs wait briefly after a start

Change: opening a connection is tried for 0.25 s at a time; an entry that has just started, or lost agents, lets jobs wait for their own slack. The lease of a silent worker lapses, since renewals are not repeated while unanswered.

--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -135,7 +135,7 @@
     def timing(self):
         """Return the timing of connections."""
         given = self.settings.timing
-        return Timing(given.heartbeat_s, given.suspect_s, given.silent_s)
+        return Timing(given.heartbeat_s, given.suspect_s, given.silent_s, given.connect_s)
 
     # Driver
 
--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -137,7 +137,8 @@
         sent_at = self.clock.now()
         token = self.token.value
         until_ms = None
-        if self.worker_clock.read_at:
+        # A renewal that may have been lost is not repeated, or the lease would never lapse.
+        if self.worker_clock.read_at and not self.misses:
             until_ms = int(self.worker_clock.at(sent_at) + self.lease.length_ms)
             self.lease.renewed_at = sent_at
         wait_ms = HOLD_WAIT_MS if self.settled.is_set() and not self.misses else 0
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -351,7 +351,7 @@
         either ended or never begins.
         """
         if run.doubtful:
-            return 0 < run.stop_answered_at < asked_at
+            return run.stop_answered_at is not None and run.stop_answered_at < asked_at
         return run.state in (RUNNING, STOPPING) and run.began and run.started_at < asked_at
 
     # Ends
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -35,6 +35,10 @@
 EXTRA_FAILURES = 2
 """Failures on workers that fail other work too do not count against a task, up to this many."""
 
+HOPE_S = 3.0
+"""After a start, or after an agent was lost, a job may wait this long for a worker in reach; agents
+are back and have heard from their workers by then."""
+
 UNSOUND_FAILING = 0.5
 """Share of failed runs from which a worker, not the task, is taken to be at fault."""
 
@@ -44,6 +48,8 @@
 
     Parameters
     ----------
+    now : float
+        Monotonic seconds at the start of the process.
     rng : random.Random, optional
 
     Attributes
@@ -58,8 +64,9 @@
         Jobs whose outcome is new.
     """
 
-    def __init__(self, rng=None):
+    def __init__(self, now, rng=None):
         self.rng = rng or Random()
+        self.hopeful_until = now + HOPE_S
         self.jobs = {}
         self.workers = {}
         self.waiting = []
@@ -103,7 +110,7 @@
             return Refusal("a copy of the job has not ended here")
         views = [view for view in self.workers.values() if view.is_ready]
         if not views:
-            return Refusal("no worker is in reach")
+            return None if now < self.hopeful_until else Refusal("no worker is in reach")
         for position, step in enumerate(job.request.steps):
             if not can_ever_run(step, self.workers.values()):
                 return Refusal(f"step {position} fits no worker")
@@ -171,7 +178,7 @@
         task.run += 1
         task.state, task.worker, task.placed_at = PLACED, view.node, now
         task.withdrawn = False
-        if not task.job.first_placed:
+        if task.job.first_placed is None:
             task.job.first_placed = now
         view.note_sent(task.spec)
         view.tasks[task.ref.key] = task
@@ -206,6 +213,7 @@
         view = self.workers[node]
         view.connected = False
         view.lost_at = now + LOST_AFTER_S
+        self.hopeful_until = max(self.hopeful_until, now + HOPE_S)
         self.orders.pop(node, None)
         self.withdrawals.pop(node, None)
 
@@ -324,7 +332,7 @@
         """End a job that is of no use any more."""
         if now >= job.deadline:
             self.give_up(job, "the caller's patience has ended")
-        elif not job.first_placed and now > min(map(job.latest_start, job.tasks)):
+        elif job.first_placed is None and now > min(map(job.latest_start, job.tasks)):
             self.give_up(job, "no room in time")
         elif now >= job.late_limit(LATE_FACTOR) and not self.is_running(job):
             self.give_up(job, "too late to be of use")
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -28,6 +28,9 @@
 LEAST_DRAIN_S = 2.5
 """The balancer notices within two checks, a second apart, that an entry is not ready."""
 
+CONFIGURATION_WAIT_S = 0.7
+"""A process that has just started has heard from control by then, or control is out of reach."""
+
 LAST_INTAKE_S = 3.0
 """After this long into a planned stop a new job is refused, since it could not end in time."""
 
@@ -46,9 +49,11 @@
         self.settings = settings
         self.clock = clock
         self.telemetry = telemetry
-        self.dispatcher = Dispatcher()
+        self.dispatcher = Dispatcher(clock.now())
+        self.configured = asyncio.Event()
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
         self.control.on_directory.append(self.follow_directory)
+        self.control.on_document.append(lambda _: self.configured.set())
         self.connections = {}
         self.dialers = {}
         self.answers = {}
@@ -69,6 +74,14 @@
 
     # Callers
 
+    async def wait_configured(self):
+        """Wait for the first configuration, for as long as a caller may be kept waiting for it."""
+        try:
+            async with asyncio.timeout(CONFIGURATION_WAIT_S):
+                await self.configured.wait()
+        except TimeoutError:
+            log.info("request refused", extra={"reason": "there is no configuration yet"})
+
     async def run_job(self, request):
         """Run a job and return its `JobOutcome`; cancelling this stops the job.
 
@@ -209,14 +222,14 @@
         now = self.clock.now()
         outcome, queue = job.outcome, job.request.queue.name
         elapsed_ms = (now - job.arrived) * 1000
-        placed_ms = (job.first_placed - job.arrived) * 1000 if job.first_placed else None
+        placed = job.first_placed
         fields = {
             "job": job.id,
             "queue": queue,
             "outcome": outcome.state,
             "reason": outcome.reason,
             "elapsed_ms": round(elapsed_ms, 1),
-            "placed_ms": None if placed_ms is None else round(placed_ms, 1),
+            "placed_ms": None if placed is None else round((placed - job.arrived) * 1000, 1),
             "objective_ms": round((job.due - job.arrived) * 1000),
             "tasks": len(job.tasks),
             "runs": sum(task.run for task in job.tasks),
--- a/onyxfork/direct/jobs.py
+++ b/onyxfork/direct/jobs.py
@@ -91,6 +91,8 @@
         For each step, how many tasks are not done.
     outcome : JobOutcome or None
         Set once the caller has been answered.
+    first_placed : float or None
+        When the first run was ordered.
     """
 
     id: str
@@ -102,7 +104,7 @@
     chain_ms: list = field(factory=list)
     open_tasks: list = field(factory=list)
     outcome: object = None
-    first_placed: float = 0.0
+    first_placed: float | None = None
 
     @property
     def begun(self):
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -25,11 +25,11 @@
         Monotonic seconds; the lowest starts first.
     state : str
         ``queued``, ``starting`` (ordered, not answered), ``running`` or ``stopping``.
-    started_at : float
+    started_at : float or None
         When the worker confirmed the start.
     doubtful : bool
         Whether the worker left the order to start unanswered.
-    stop_answered_at : float
+    stop_answered_at : float or None
         When the worker answered an order to stop.
     reason : str
         Why the run is taken back.
@@ -42,10 +42,10 @@
     arrived_at: float
     latest_start: float
     state: str = QUEUED
-    started_at: float = 0.0
+    started_at: float | None = None
     ordered_at: float = 0.0
     doubtful: bool = False
-    stop_answered_at: float = 0.0
+    stop_answered_at: float | None = None
     reason: str = ""
     percent: int = 0
     moved_at: float = 0.0
@@ -58,7 +58,7 @@
     @property
     def began(self):
         """Whether the worker has confirmed the start."""
-        return self.started_at > 0.0
+        return self.started_at is not None
 
     def event(self, kind, now, reason=""):
         """Return news of this run for the entry."""
--- a/onyxfork/direct/settings.py
+++ b/onyxfork/direct/settings.py
@@ -9,7 +9,7 @@
 
 __all__ = ["DirectSettings", "NODE_TIMING"]
 
-NODE_TIMING = Timing(heartbeat_s=0.2, suspect_s=0.45, silent_s=0.7)
+NODE_TIMING = Timing(heartbeat_s=0.2, suspect_s=0.45, silent_s=0.7, connect_s=0.25)
 """A peer that is silent for 0.7 s is given up: a caller sends a job again 1.3 s after a broken
 connection, and by then an agent has to have stopped what a lost entry ordered."""
 
--- a/onyxfork/messages/connection.py
+++ b/onyxfork/messages/connection.py
@@ -30,11 +30,16 @@
 
 @define
 class Timing:
-    """When a connection is pinged, suspected and given up, in seconds."""
+    """When a connection is pinged, suspected and given up, and how long opening one may take.
+
+    All in seconds. A lost opening packet is sent again by the kernel only after a second, so where
+    that is too long `connect_s` is shorter and the caller tries again.
+    """
 
     heartbeat_s: float = 0.6
     suspect_s: float = 1.3
     silent_s: float = 2.0
+    connect_s: float = 2.0
 
 
 class Liveness:
@@ -313,7 +318,7 @@
         When no connection could be made.
     """
     try:
-        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+        async with asyncio.timeout(timing.connect_s):
             reader, writer = await asyncio.open_connection(*address, ssl=tls)
     except TimeoutError:
         raise OSError(f"no connection to {address[0]}:{address[1]} in time") from None
--- a/onyxfork/platform/callers.py
+++ b/onyxfork/platform/callers.py
@@ -59,6 +59,8 @@
 
     async def route(self, request):
         """Find the queue of a request and what is asked of it."""
+        if self.table is None:
+            await self.entry.wait_configured()
         if self.table is None:
             return refusal("there is no configuration yet", RETRY_SOON_S)
         host = request.headers.get("Host", "").rpartition(":")[0] or request.headers.get("Host", "")
--- a/onyxfork/platform/settings.py
+++ b/onyxfork/platform/settings.py
@@ -110,7 +110,7 @@
         return self.first_start and self.internal(CONTROL_PORT) in self.control_instances()
 
 
-NODE_TIMING_SETTINGS = TimingSettings(heartbeat_s=0.2, suspect_s=0.45, silent_s=0.7)
+NODE_TIMING_SETTINGS = TimingSettings(0.2, 0.45, 0.7, 0.25)
 
 
 def parse(value):
--- a/onyxfork/settings.py
+++ b/onyxfork/settings.py
@@ -98,6 +98,7 @@
     heartbeat_s: float = field(default=0.6, validator=POSITIVE)
     suspect_s: float = field(default=1.3, validator=POSITIVE)
     silent_s: float = field(default=2.0, validator=POSITIVE)
+    connect_s: float = field(default=2.0, validator=POSITIVE)
 
 
 @define
--- /dev/null
+++ b/tests/direct/test_arbiter.py
@@ -0,0 +1,165 @@
+"""An agent's decisions: room, order, doubt, copies, sessions and lifetimes."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+from builders import make_order, make_worker  # noqa: E402
+
+from onyxfork.direct.arbiter import RESUME_WITHIN_S, Arbiter  # noqa: E402
+
+
+def make_arbiter(cpu=4000):
+    arbiter = Arbiter()
+    arbiter.take_worker(make_worker(cpu), 0.0)
+    return arbiter, arbiter.connect("e1", "i1", object())
+
+
+def start_all(arbiter, now, answer="started"):
+    """Answer every start that the arbiter asks for; return the runs."""
+    arbiter.schedule(now)
+    starts, arbiter.starts = arbiter.starts, []
+    for run in starts:
+        arbiter.start_answered(run, answer, now)
+    return starts
+
+
+def kinds(session):
+    events, session.events = session.events, []
+    return [(event.index, event.kind) for event in events]
+
+
+def test_runs_start_while_they_fit_and_the_rest_waits():
+    arbiter, session = make_arbiter(cpu=2000)
+    arbiter.place(session, [make_order(index=at) for at in range(3)], 0.0)
+    assert len(start_all(arbiter, 0.0)) == 2
+    assert arbiter.status(session).cpu_free == -1000
+    arbiter.take_ends([(make_order(index=0).ref, "done")], 0.1)
+    assert [run.order.index for run in start_all(arbiter, 0.1)] == [2]
+
+
+def test_least_slack_starts_first():
+    arbiter, session = make_arbiter(cpu=1000)
+    orders = [make_order(index=0, slack_ms=500.0), make_order(index=1, slack_ms=20.0)]
+    arbiter.place(session, orders, 0.0)
+    assert [run.order.index for run in start_all(arbiter, 0.0)] == [1]
+
+
+def test_order_sent_twice_is_taken_once():
+    arbiter, session = make_arbiter()
+    arbiter.place(session, [make_order(), make_order()], 0.0)
+    assert len(start_all(arbiter, 0.0)) == 1
+
+
+def test_copy_from_another_entry_is_handed_back_while_a_run_is_here():
+    arbiter, session = make_arbiter()
+    other = arbiter.connect("e2", "i2", object())
+    arbiter.place(session, [make_order()], 0.0)
+    start_all(arbiter, 0.0)
+    arbiter.place(other, [make_order(run=1)], 0.1)
+    assert [(event.kind, event.reason) for event in other.events] == [("returned", "copy")]
+
+
+def test_unanswered_start_ends_only_after_its_stop_and_a_later_list():
+    arbiter, session = make_arbiter()
+    arbiter.place(session, [make_order()], 0.0)
+    (run,) = start_all(arbiter, 0.0, "unanswered")
+    assert arbiter.stops == [run]
+    arbiter.take_running({}, 0.2, 0.2)
+    assert kinds(session) == []
+    arbiter.stop_answered(run, 0.3)
+    arbiter.take_running({run.order.ref: 5}, 0.31, 0.31)
+    assert kinds(session) == []
+    arbiter.take_running({}, 0.4, 0.4)
+    assert kinds(session) == [(0, "stopped")]
+    assert arbiter.cpu_used == 0
+
+
+def test_run_missing_from_a_list_asked_for_before_its_start_is_not_lost():
+    arbiter, session = make_arbiter()
+    arbiter.place(session, [make_order()], 0.0)
+    start_all(arbiter, 0.5)
+    arbiter.take_running({}, 0.4, 0.6)
+    assert kinds(session) == [(0, "started")]
+    arbiter.take_running({}, 0.7, 0.7)
+    assert kinds(session) == [(0, "lost")]
+
+
+def test_list_names_runs_that_nobody_ordered():
+    arbiter, _ = make_arbiter()
+    ref = make_order().ref
+    assert arbiter.take_running({ref: 10}, 0.1, 0.1) == [ref]
+
+
+def test_draining_worker_hands_back_what_waits_and_takes_nothing_new():
+    arbiter, session = make_arbiter(cpu=1000)
+    arbiter.place(session, [make_order(index=0), make_order(index=1)], 0.0)
+    start_all(arbiter, 0.0)
+    arbiter.take_worker(make_worker(1000, "draining", sequence=2), 0.1)
+    arbiter.place(session, [make_order(index=2)], 0.1)
+    assert sorted(kinds(session)) == [(0, "started"), (1, "returned"), (2, "returned")]
+    arbiter.take_worker(make_worker(1000, "ready", sequence=3), 0.2)
+    assert arbiter.state == "draining"
+
+
+def test_report_of_an_earlier_lifetime_changes_nothing():
+    arbiter, _ = make_arbiter()
+    arbiter.take_worker(make_worker(born_ms=9, id="w2"), 0.1)
+    assert not arbiter.take_worker(make_worker(state="draining", sequence=7), 0.2)
+    assert arbiter.worker.id == "w2"
+
+
+def test_new_lifetime_ends_what_the_old_one_ran():
+    arbiter, session = make_arbiter(cpu=1000)
+    arbiter.place(session, [make_order(index=0), make_order(index=1)], 0.0)
+    start_all(arbiter, 0.0)
+    arbiter.take_worker(make_worker(1000, born_ms=9, id="w2"), 0.5)
+    assert sorted(kinds(session)) == [(0, "lost"), (0, "started"), (1, "returned")]
+    assert (arbiter.cpu_used, arbiter.cpu_queued) == (0, 0)
+
+
+def test_runs_of_an_entry_that_does_not_come_back_are_stopped():
+    arbiter, session = make_arbiter()
+    arbiter.place(session, [make_order()], 0.0)
+    (run,) = start_all(arbiter, 0.0)
+    arbiter.disconnect(session, session.connection, 1.0)
+    arbiter.tick(1.0 + RESUME_WITHIN_S / 2)
+    assert arbiter.stops == []
+    arbiter.tick(1.0 + RESUME_WITHIN_S)
+    assert arbiter.stops == [run]
+
+
+def test_entry_that_comes_back_learns_what_ended_and_keeps_what_runs():
+    arbiter, session = make_arbiter()
+    orders = [make_order(index=at) for at in range(3)]
+    arbiter.place(session, orders[:2], 0.0)
+    start_all(arbiter, 0.0)
+    arbiter.disconnect(session, session.connection, 1.0)
+    arbiter.take_ends([(orders[0].ref, "done")], 1.1)
+    session.events.clear()
+    assert arbiter.connect("e1", "i1", object()) is session
+    arbiter.resume(session, [order.ref for order in orders], 1.2)
+    assert sorted(kinds(session)) == [(0, "done"), (1, "started"), (2, "returned")]
+    assert arbiter.stops == []
+
+
+def test_restarted_entry_has_the_runs_of_its_former_process_stopped():
+    arbiter, session = make_arbiter()
+    arbiter.place(session, [make_order()], 0.0)
+    (run,) = start_all(arbiter, 0.0)
+    assert arbiter.connect("e1", "i2", object()) is not session
+    assert arbiter.stops == [run]
+
+
+def test_withdrawn_run_that_never_arrived_is_answered():
+    arbiter, session = make_arbiter()
+    arbiter.withdraw(session, [make_order().ref], 0.0)
+    assert kinds(session) == [(0, "returned")]
+
+
+def test_start_without_room_is_handed_back_and_frees_what_it_held():
+    arbiter, session = make_arbiter()
+    arbiter.place(session, [make_order()], 0.0)
+    start_all(arbiter, 0.0, "room")
+    assert kinds(session) == [(0, "returned")]
+    assert arbiter.cpu_used == 0
--- /dev/null
+++ b/tests/direct/test_path.py
@@ -0,0 +1,163 @@
+"""Entry, agent and a stand-in worker in one process, over loopback connections."""
+
+import asyncio
+import sys
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+from builders import make_request, make_worker  # noqa: E402
+
+from onyxfork.direct.agent import DirectAgent, run_agent  # noqa: E402
+from onyxfork.direct.entry import DirectEntry, run_entry  # noqa: E402
+from onyxfork.direct.messages import ConfigurationDocument, DirectoryNode  # noqa: E402
+from onyxfork.direct.settings import DirectSettings  # noqa: E402
+from onyxfork.direct.telemetry import Telemetry  # noqa: E402
+from onyxfork.direct.worker_client import HoldReply, Reply, WorkerClient  # noqa: E402
+from onyxfork.settings import Address  # noqa: E402
+from onyxfork.utils import SystemClock  # noqa: E402
+
+PATIENCE_S = 10.0
+
+
+class StandInWorker(WorkerClient):
+    """A worker in memory: its runs end when the test says so, or after `run_s`."""
+
+    def __init__(self, run_s=None):
+        self.run_s = run_s
+        self.running = {}
+        self.started = []
+        self.stopped = []
+        self.ends = []
+        self.news = asyncio.Event()
+        self.answers = True
+
+    async def start(self, worker, order, until_ms, token):
+        self.running[order.ref] = 0
+        self.started.append(order.ref)
+        if self.run_s is not None:
+            asyncio.get_running_loop().call_later(self.run_s, self.end, order.ref, "done")
+        return Reply("ok", 1000)
+
+    async def stop(self, worker, ref, token):
+        self.stopped.append(ref)
+        self.end(ref, "stopped")
+        return Reply("ok", 1000)
+
+    def end(self, ref, how):
+        if self.running.pop(ref, None) is not None:
+            self.ends.append((ref, how))
+            self.news.set()
+
+    async def hold(self, worker, until_ms, token, last_end, wait_ms, fresh):
+        if not self.answers:
+            return HoldReply("unanswered")
+        self.news.clear()
+        if wait_ms and len(self.ends) <= last_end:
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await self.news.wait()
+            except TimeoutError:
+                pass
+        ends, last = self.ends[last_end:], len(self.ends)
+        return HoldReply("ok", 1000, 1, dict(self.running), ends, last)
+
+
+def make_settings(node):
+    return DirectSettings(node, "a", "test", Address("127.0.0.1", 0), [], drain_s=0.2)
+
+
+async def free_port():
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    server.close()
+    await server.wait_closed()
+    return port
+
+
+async def until(condition):
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@asynccontextmanager
+async def run_path(worker):
+    """Yield an entry that is connected to the agent of a worker."""
+    agent_settings, entry_settings = make_settings("s1"), make_settings("e1")
+    agent_settings.listen = Address("127.0.0.1", await free_port())
+    telemetry = Telemetry("test", "n", "a")
+    agent = DirectAgent(agent_settings, worker, SystemClock(), telemetry)
+    entry = DirectEntry(entry_settings, SystemClock(), telemetry)
+    async with run_agent(agent), run_entry(entry):
+        agent.on_report(make_worker())
+        node = DirectoryNode("s1", "agent", "a", str(agent_settings.listen))
+        entry.control.note_sighted(node)
+        entry.control.take_document(ConfigurationDocument(1, b"{}"), "test")
+        await until(lambda: entry.is_ready)
+        yield entry, agent
+
+
+async def test_job_runs_and_is_answered():
+    worker = StandInWorker(run_s=0.02)
+    async with run_path(worker) as (entry, agent):
+        async with asyncio.timeout(PATIENCE_S):
+            outcome = await entry.run_job(make_request(tasks=6, ms=5000.0))
+        assert outcome.state == "completed"
+        assert len(set(worker.started)) == 6
+        await until(lambda: not agent.arbiter.runs)
+        text, _ = entry.telemetry.render()
+        assert b'onyxfork_jobs_total{node="n",queue="checks"' in text
+
+
+async def test_runs_survive_a_connection_that_breaks():
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, _):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=2, ms=5000.0)))
+        await until(lambda: len(worker.running) == 2)
+        entry.connections["s1"].writer.transport.abort()
+        await until(lambda: "s1" not in entry.connections)
+        await until(lambda: "s1" in entry.connections)
+        for ref in list(worker.running):
+            worker.end(ref, "done")
+        async with asyncio.timeout(PATIENCE_S):
+            assert (await job).state == "completed"
+        assert worker.stopped == []
+
+
+async def test_runs_are_stopped_when_their_caller_leaves():
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, _):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=2, ms=5000.0)))
+        await until(lambda: len(worker.running) == 2)
+        job.cancel()
+        await until(lambda: len(worker.stopped) == 2)
+        await until(lambda: not entry.dispatcher.jobs)
+
+
+async def test_runs_are_stopped_when_their_entry_ends():
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, agent):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=2, ms=5000.0)))
+        await until(lambda: len(worker.running) == 2)
+        for _, dialing in entry.dialers.values():
+            dialing.cancel()
+        await until(lambda: len(worker.stopped) == 2)
+        await until(lambda: not agent.arbiter.sessions)
+        job.cancel()
+
+
+async def test_silent_worker_is_reported_and_its_runs_are_lost_with_its_lease():
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, agent):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: len(worker.running) == 1)
+        worker.answers = False
+        await until(lambda: entry.dispatcher.workers["s1"].status.state == "suspect")
+        await until(lambda: not agent.arbiter.runs)
+        assert agent.lease.has_lapsed(agent.clock.now())
+        worker.running.clear()
+        worker.answers = True
+        await until(lambda: len(worker.started) == 2)
+        assert worker.started[1].run > worker.started[0].run
+        job.cancel()
