--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -25,8 +25,13 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.05
-STATUS_DELAY_S = 0.004
-"""Reports to entries within this time leave as one."""
+TIGHT_STATUS_DELAY_S = 0.004
+STATUS_DELAY_S = 0.03
+"""Reports to entries within this time leave as one: at once, nearly, while room is short, and later
+while there is plenty and a report changes no decision."""
+
+TIGHT_SHARE = 0.25
+"""Room is short below this share of the worker's processors."""
 
 HOLD_WAIT_MS = 100
 """How long the worker may wait for an end before it answers a renewal; bounds how old the
@@ -258,7 +263,8 @@
         self.send_events()
         if arbiter.changed and not self.flush_due:
             self.flush_due = True
-            asyncio.get_running_loop().call_later(STATUS_DELAY_S, self.send_status)
+            delay_s = TIGHT_STATUS_DELAY_S if arbiter.is_tight(TIGHT_SHARE) else STATUS_DELAY_S
+            asyncio.get_running_loop().call_later(delay_s, self.send_status)
 
     def send_events(self):
         """Send entries the news of their runs."""
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -392,6 +392,12 @@
             if session.connection is None and now - session.gone_at >= RESUME_WITHIN_S:
                 self.drop_session(session, "the entry is out of reach")
 
+    def is_tight(self, share):
+        """Return whether less than a share of the processors is free, or the state is not ready."""
+        if self.state != READY:
+            return True
+        return self.worker.cpu - self.cpu_used - self.cpu_queued < share * self.worker.cpu
+
     def status(self, session):
         """Return the report for one entry."""
         worker = self.worker
--- a/onyxfork/direct/links.py
+++ b/onyxfork/direct/links.py
@@ -151,7 +151,7 @@
         return Dialer(
             address,
             self.make_hello,
-            self.settings.timing,
+            self.settings.control_timing,
             lambda connection: self.opened(address, connection),
             lambda connection, item: self.take(address, item),
             lambda connection, reason: self.closed(address, reason),
--- a/onyxfork/direct/settings.py
+++ b/onyxfork/direct/settings.py
@@ -4,15 +4,19 @@
 
 from attrs import define, field
 
+from onyxfork.addresses import Address
 from onyxfork.messages import PROTOCOL_VERSION, Hello, Timing
-from onyxfork.settings import Address
 
-__all__ = ["DirectSettings", "NODE_TIMING"]
+__all__ = ["DirectSettings", "NODE_TIMING", "CONTROL_TIMING"]
 
 NODE_TIMING = Timing(heartbeat_s=0.2, suspect_s=0.45, silent_s=0.7, connect_s=0.25)
 """A peer that is silent for 0.7 s is given up: a caller sends a job again 1.3 s after a broken
 connection, and by then an agent has to have stopped what a lost entry ordered."""
 
+CONTROL_TIMING = Timing(heartbeat_s=0.5, suspect_s=1.0, silent_s=1.6, connect_s=0.25)
+"""No job waits for control; a configuration has to reach a node within 2 s of a sound network, and
+a connection that has gone silent is replaced within that."""
+
 
 @define
 class DirectSettings:
@@ -39,6 +43,7 @@
     lease_ms: float = 1000.0
     drain_s: float = 5.0
     timing: Timing = NODE_TIMING
+    control_timing: Timing = CONTROL_TIMING
     incarnation: str = field(factory=lambda: uuid4().hex[:12])
 
     def hello(self, role, now):
--- a/onyxfork/entities/__init__.py
+++ b/onyxfork/entities/__init__.py
@@ -1,5 +1,7 @@
 """Entities and the tables that hold them."""
 
-from onyxfork.entities.agent_tasks import *  # noqa: F403
-from onyxfork.entities.catalogue import *  # noqa: F403
-from onyxfork.entities.outcomes import *  # noqa: F403
+from onyxfork.utils.lazy import lazy_names
+
+__all__ = []
+
+__getattr__ = lazy_names(__name__, ("agent_tasks", "catalogue", "outcomes"))
--- a/onyxfork/messages/connection.py
+++ b/onyxfork/messages/connection.py
@@ -16,7 +16,7 @@
 
 from onyxfork.errors import ProtocolError
 from onyxfork.messages.codec import pack, unpack
-from onyxfork.messages.types import Hello, Ping, Reject
+from onyxfork.messages.greeting import Hello, Ping, Reject
 
 __all__ = ["Timing", "Connection", "handshake", "open_connection", "serve", "Liveness"]
 
--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -8,6 +8,7 @@
 import sys
 from contextlib import asynccontextmanager
 
+from onyxfork.addresses import Address
 from onyxfork.direct.telemetry import Telemetry
 from onyxfork.errors import OnyxforkError, SettingsError
 from onyxfork.logs import start_bounded_logging
@@ -17,7 +18,6 @@
     ENTRY_PORT,
     load_platform_settings,
 )
-from onyxfork.settings import Address
 from onyxfork.utils import SystemClock
 
 __all__ = ["main"]
@@ -167,8 +167,8 @@
         watching = asyncio.create_task(watch_settings(settings, reload, hangup))
         stopped = asyncio.Event()
         metrics = asyncio.create_task(serve_metrics(settings, telemetry, stopped))
-        gc.collect()
         gc.freeze()
+        gc.enable()
         await stop.wait()
         log.info("stopping")
         await finish()
--- a/onyxfork/platform/settings.py
+++ b/onyxfork/platform/settings.py
@@ -4,12 +4,13 @@
 import tomllib
 from pathlib import Path
 
+import attrs
 from attrs import define
 
-from onyxfork.direct.settings import DirectSettings
+from onyxfork.addresses import Address
+from onyxfork.direct.settings import CONTROL_TIMING, DirectSettings
 from onyxfork.errors import SettingsError
 from onyxfork.platform.fields import FieldError, items, number, read_object, text, whole
-from onyxfork.settings import Address, ControlSettings, TimingSettings
 
 __all__ = ["PlatformSettings", "load_platform_settings", "SETTINGS_VARIABLE"]
 
@@ -89,8 +90,10 @@
 
     def control(self):
         """Return the settings of a control instance; instances are named by their address."""
+        from onyxfork.settings import ControlSettings, TimingSettings
+
         listen = self.internal(CONTROL_PORT)
-        timing = NODE_TIMING_SETTINGS
+        timing = TimingSettings(**attrs.asdict(CONTROL_TIMING))
         members = {str(address): address for address in [*self.control_instances(), listen]}
         return ControlSettings(
             role="control",
@@ -110,9 +113,6 @@
         return self.first_start and self.internal(CONTROL_PORT) in self.control_instances()
 
 
-NODE_TIMING_SETTINGS = TimingSettings(0.2, 0.45, 0.7, 0.25)
-
-
 def parse(value):
     """Return the `Address` in ``ip:port``."""
     host, _, port = value.rpartition(":")
--- a/onyxfork/settings.py
+++ b/onyxfork/settings.py
@@ -3,7 +3,6 @@
 Every wrong, missing or unknown field is reported together, with its path and what was expected.
 """
 
-import ipaddress
 import json
 from pathlib import Path
 from types import NoneType, UnionType
@@ -13,6 +12,7 @@
 import cattrs
 from attrs import define, field
 
+from onyxfork.addresses import Address, checked
 from onyxfork.entities.tuning import Tuning
 from onyxfork.errors import SettingsError
 
@@ -30,33 +30,12 @@
 ]
 
 
-def checked(test, expected):
-    """Return an attrs validator that names what was expected."""
-
-    def validate(instance, attribute, value):
-        if not test(value):
-            raise ValueError(f"expected {expected}, got {value!r}")
-
-    return validate
-
-
-def is_ip(value):
-    """Return whether a text is an IP number."""
-    try:
-        ipaddress.ip_address(value)
-    except ValueError:
-        return False
-    return True
-
-
 def is_name(value):
     """Return whether a text can name a process, zone or cluster."""
     return 0 < len(value) <= 64 and value.isprintable() and not set(value) & set("/# ")
 
 
-IP = checked(is_ip, "an IP number")
 NAME = checked(is_name, "a name of 1 to 64 characters without slash, # or space")
-PORT = checked(lambda value: 0 <= value <= 65535, "a port from 0 to 65535")
 POSITIVE = checked(lambda value: value > 0, "a number above 0")
 NOT_NEGATIVE = checked(lambda value: value >= 0, "a number from 0 on")
 SOME = checked(lambda value: len(value) > 0, "at least one item")
@@ -66,22 +45,6 @@
 )
 
 
-@define(frozen=True)
-class Address:
-    """An IP number and a port."""
-
-    host: str = field(validator=IP)
-    port: int = field(validator=PORT)
-
-    @property
-    def pair(self):
-        """The address as asyncio takes it."""
-        return (self.host, self.port)
-
-    def __str__(self):
-        return f"{self.host}:{self.port}"
-
-
 @define
 class TlsSettings:
     """Files for TLS between processes; both sides show a certificate of the authority."""
