Late work starts after work that can be on time

Change: entries and agents start a late task after all that can be on time, and admission does not count it as ahead.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -24,7 +24,7 @@
     retry_after_ms: float = LEAST_RETRY_AFTER_MS
 
 
-def predicted_wait_s(job, waiting, cores_running):
+def predicted_wait_s(job, waiting, cores_running, now):
     """Return how long until the last task of a job that could start now would start.
 
     Parameters
@@ -34,6 +34,8 @@
         Tasks of this entry that have no room yet.
     cores_running : float
         Thousandths of a core that this entry's tasks occupy.
+    now : float
+        Waiting tasks that are late already start after the job's.
 
     Returns
     -------
@@ -43,7 +45,7 @@
     latest = min(job.latest_start(task) for task in job.tasks)
     work = 0.0
     for task in waiting:
-        if task.job.latest_start(task) <= latest:
+        if now <= task.job.latest_start(task) <= latest:
             work += task.spec.cpu * task.expected_ms
     if not work:
         return 0.0
@@ -67,7 +69,7 @@
     """
     if not waiting:
         return None
-    wait_s = predicted_wait_s(job, waiting, cores_running)
+    wait_s = predicted_wait_s(job, waiting, cores_running, now)
     slack_s = min(job.latest_start(task) for task in job.tasks) - now
     if wait_s <= START_MARGIN * slack_s:
         return None
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -24,6 +24,9 @@
 REMEMBER_ENDS = 4096
 """Ends kept for an entry that comes back."""
 
+OVERDUE_S = 60.0
+"""Added to the latest start of a run that is late, so that it does not make others late."""
+
 PACE_WEIGHT = 0.1
 """Weight of the latest run in the averages of pace and failures."""
 
@@ -216,10 +219,13 @@
     def schedule(self, now):
         """Start queued runs, those with the least slack first, while they fit."""
         while self.queue and self.state == READY and now >= self.unhealthy_until:
-            _, _, run = self.queue[0]
+            key, _, run = self.queue[0]
             if run.state != QUEUED or self.runs.get(run.key) is not run:
                 heapq.heappop(self.queue)
                 continue
+            if key < now:
+                heapq.heapreplace(self.queue, (key + OVERDUE_S, next(self.sequence), run))
+                continue
             if not self.fits(run.order):
                 return
             heapq.heappop(self.queue)
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -39,6 +39,9 @@
 """After a start, or after an agent was lost, a job may wait this long for a worker in reach; agents
 are back and have heard from their workers by then."""
 
+OVERDUE_S = 60.0
+"""Added to the latest start of a task that is late; longer than any slack."""
+
 UNSOUND_FAILING = 0.5
 """Share of failed runs from which a worker, not the task, is taken to be at fault."""
 
@@ -151,17 +154,27 @@
         """Let a task wait for room."""
         task.state = WAITING
         self.waiting_tasks.add(task)
-        latest = task.job.latest_start(task)
-        heapq.heappush(self.waiting, (latest, next(self.sequence), task))
+        self.push(task, task.job.latest_start(task))
+
+    def push(self, task, key):
+        """Put a waiting task into the order of starts."""
+        heapq.heappush(self.waiting, (key, next(self.sequence), task))
 
     def pump(self, now):
-        """Place waiting tasks, those with the least slack first, while there is room."""
+        """Place waiting tasks, those with the least slack first, while there is room.
+
+        A task that can not be on time any more comes after all that can: serving it first would
+        make the next one late too.
+        """
         passed_over = []
         while self.waiting:
             item = heapq.heappop(self.waiting)
-            task = item[2]
+            key, _, task = item
             if task not in self.waiting_tasks:
                 continue
+            if key < now:
+                self.push(task, key + OVERDUE_S)
+                continue
             view = choose_worker(task, self.workers.values(), self.pace, self.rng, now)
             if view is None:
                 passed_over.append(item)
--- /dev/null
+++ b/tests/direct/test_load.py
@@ -0,0 +1,34 @@
+"""Patterns of load beyond capacity: who waits, who is refused, in which order work starts."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+from builders import (
+    make_dispatcher,
+    make_order,
+    make_request,
+    make_status,
+    take_orders,
+)  # noqa: E402
+from test_arbiter import make_arbiter, start_all  # noqa: E402
+
+
+def test_burst_after_a_stall_late_work_does_not_make_the_next_late():
+    """A worker is lost, its tasks come back late, and on-time work is waiting for the same room."""
+    dispatcher = make_dispatcher(cpu_free=1000)
+    dispatcher.submit(make_request("00000000000000b1", tasks=2, ms=100.0), 0.0)
+    take_orders(dispatcher)
+    dispatcher.submit(make_request("00000000000000b2", tasks=1, ms=500.0), 0.2)
+    dispatcher.on_status("s1", make_status(cpu_free=1000, seen=1), 0.3)
+    assert [order.job[-2:] for order in take_orders(dispatcher)["s1"]] == ["b2"]
+
+
+def test_late_run_at_an_agent_starts_after_those_on_time():
+    arbiter, session = make_arbiter(cpu=1000)
+    orders = [make_order(index=0, slack_ms=50.0), make_order(index=1, slack_ms=20.0)]
+    orders.append(make_order(index=2, slack_ms=400.0))
+    arbiter.place(session, orders, 0.0)
+    assert [run.order.index for run in start_all(arbiter, 0.0)] == [1]
+    arbiter.take_ends([(orders[1].ref, "done")], 0.1)
+    assert [run.order.index for run in start_all(arbiter, 0.1)] == [2]
