Runs that stand still or are outrun are taken back; unsound and slow workers are spared

Change: progress.py judges runs by their percents; entries skip workers that fail or would be late; jobs wait for the first worker after a start.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -11,6 +11,7 @@
 from itertools import count
 
 from onyxfork.direct.messages import TaskEvent, WorkerStatus
+from onyxfork.direct.progress import SLOW_FACTOR, find_outrun, find_stalled, slowdown
 from onyxfork.direct.runs import QUEUED, RUNNING, STARTING, STOPPING, Run, Session
 
 __all__ = ["Arbiter"]
@@ -28,11 +29,20 @@
 """Added to the latest start of a run that is late, so that it does not make others late."""
 
 PACE_WEIGHT = 0.1
-"""Weight of the latest run in the averages of pace and failures."""
+"""Weight of the latest run in the average of pace."""
+
+FAILURE_WEIGHT = 0.25
+"""Weight of the latest run in the average of failures: three in a row make a worker unsound."""
 
 FEWEST_EXPECTED_MS = 1.0
 """Floor of an estimate, so that pace stays finite."""
 
+FORGET_FAILURES_S = 2.0
+"""Time constant after which failures of the past count less, so that a worker is tried again."""
+
+STALLED_FAILING = 0.8
+"""Share of failures that a run which stands still counts as: others will stand still too."""
+
 UNHEALTHY_S = 0.5
 """How long nothing is started after the worker has refused a start as unhealthy."""
 
@@ -65,6 +75,8 @@
         self.cpu_queued = self.memory_queued = self.gpu_queued = 0
         self.log_pace = 0.0
         self.failing = 0.0
+        self.slowness = None
+        self.ticked_at = None
         self.unhealthy_until = 0.0
         self.changed = False
 
@@ -340,8 +352,10 @@
             run = self.runs.get(ref.key)
             if run is None or run.order.run != ref.run:
                 unknown.append(ref)
-            elif percent > run.percent:
-                run.percent, run.moved_at = percent, now
+                continue
+            run.looked_at = asked_at
+            if percent > run.percent:
+                run.percent, run.moved_at = percent, asked_at
         for run in list(self.runs.values()):
             if run.order.ref in listed or not self.must_be_listed(run, asked_at):
                 continue
@@ -383,7 +397,7 @@
 
     def note_end(self, failed):
         """Average the share of failed runs."""
-        self.failing += PACE_WEIGHT * ((1.0 if failed else 0.0) - self.failing)
+        self.failing += FAILURE_WEIGHT * ((1.0 if failed else 0.0) - self.failing)
 
     def note_pace(self, run_ms, expected_ms):
         """Average run times over their estimates, by logarithm."""
@@ -393,11 +407,34 @@
     # Time
 
     def tick(self, now):
-        """Let time pass: sessions of entries that have not come back end."""
+        """Let time pass: entries that have not come back, runs that do not move, old failures."""
+        if self.ticked_at is not None:
+            self.failing *= math.exp((self.ticked_at - now) / FORGET_FAILURES_S)
+        self.ticked_at = now
+        self.judge_progress(now)
         for session in list(self.sessions.values()):
             if session.connection is None and now - session.gone_at >= RESUME_WITHIN_S:
                 self.drop_session(session, "the entry is out of reach")
 
+    def judge_progress(self, now):
+        """Take back runs that stand still, or would end sooner on another worker."""
+        runs = list(self.runs.values())
+        for run in find_stalled(runs, now):
+            self.failing = max(self.failing, STALLED_FAILING)
+            self.changed = True
+            self.stop(run, "stalled", now)
+        self.slowness = slowdown(runs)
+        for run in find_outrun(runs, self.slowness):
+            self.stop(run, "slow", now)
+
+    @property
+    def pace(self):
+        """Run times in multiples of their estimates; what runs now counts when it is slow."""
+        average = math.exp(self.log_pace)
+        if self.slowness is not None and self.slowness >= SLOW_FACTOR:
+            return max(average, self.slowness)
+        return average
+
     def is_tight(self, share):
         """Return whether less than a share of the processors is free, or the state is not ready."""
         if self.state != READY:
@@ -419,7 +456,7 @@
             memory - self.memory_used - self.memory_queued,
             gpu - self.gpu_used - self.gpu_queued,
             session.orders_seen,
-            math.exp(self.log_pace),
+            self.pace,
             self.failing,
             worker.labels if worker else [],
         )
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -11,7 +11,7 @@
 
 from onyxfork.direct.admission import LEAST_RETRY_AFTER_MS, Refusal, check_admission
 from onyxfork.direct.jobs import BLOCKED, DONE, PLACED, RUNNING, WAITING, make_job
-from onyxfork.direct.placement import can_ever_run, choose_worker
+from onyxfork.direct.placement import UNSOUND_FAILING, can_ever_run, choose_worker
 from onyxfork.direct.requests import COMPLETED, FAILED, REFUSED, UNKNOWN, JobOutcome
 from onyxfork.direct.workers import PaceTable, WorkerView
 
@@ -42,9 +42,6 @@
 OVERDUE_S = 60.0
 """Added to the latest start of a task that is late; longer than any slack."""
 
-UNSOUND_FAILING = 0.5
-"""Share of failed runs from which a worker, not the task, is taken to be at fault."""
-
 
 class Dispatcher:
     """The jobs, tasks and workers of one entry.
@@ -289,7 +286,7 @@
     def on_ended(self, task, view, event, now):
         """Note that a run has stopped before its end, and let the task run again."""
         task.begun = True
-        if event.kind == "lost":
+        if event.kind == "lost" or event.reason in ("stalled", "slow"):
             view.avoid_until = now + AVOID_S
         self.run_again(task, now)
 
@@ -345,11 +342,21 @@
         """End a job that is of no use any more."""
         if now >= job.deadline:
             self.give_up(job, "the caller's patience has ended")
-        elif job.first_placed is None and now > min(map(job.latest_start, job.tasks)):
+        elif job.first_placed is None and self.is_hopeless(job, now):
             self.give_up(job, "no room in time")
         elif now >= job.late_limit(LATE_FACTOR) and not self.is_running(job):
             self.give_up(job, "too late to be of use")
 
+    def is_hopeless(self, job, now):
+        """Return whether a job that waits for room gets none in time.
+
+        While no worker is in reach a late answer is still better than none: workers are not full,
+        they are only about to be found.
+        """
+        if now <= min(map(job.latest_start, job.tasks)):
+            return False
+        return now >= self.hopeful_until or any(view.is_ready for view in self.workers.values())
+
     def is_running(self, job):
         """Return whether every open task of a job runs."""
         return all(task.state in (RUNNING, DONE) for task in job.tasks)
--- a/onyxfork/direct/placement.py
+++ b/onyxfork/direct/placement.py
@@ -1,6 +1,6 @@
 """Which worker gets a task."""
 
-__all__ = ["choose_worker", "can_ever_run"]
+__all__ = ["choose_worker", "can_ever_run", "UNSOUND_FAILING"]
 
 CROWDING_WEIGHT = 0.15
 """Share of a run time that a full worker counts as slower than an empty one; spreads the work."""
@@ -14,6 +14,15 @@
 FAILING_PENALTY = 4.0
 """Run times that a failing worker counts as slower, times the share of its runs that failed."""
 
+UNSOUND_FAILING = 0.5
+"""Share of failed runs from which a worker, not its tasks, is taken to be at fault."""
+
+PROBATION_FAILING = 0.2
+"""Above this share of failed runs an entry has one task at a time on a worker."""
+
+SLOW_RELATIVE = 2.0
+"""A worker this many times slower than the middle one gets only tasks that are on time there."""
+
 
 def can_ever_run(step, views):
     """Return whether any known worker is large enough for a task of `step`."""
@@ -53,7 +62,7 @@
     best, best_cost = None, float("inf")
     step = task.spec
     for view in views:
-        if not view.is_ready or not view.has_room(step):
+        if not view.is_ready or not view.has_room(step) or not is_sound(task, view, pace, now):
             continue
         if step.most_per_worker and count_of_step(task, view) >= step.most_per_worker:
             continue
@@ -63,6 +72,16 @@
     return best
 
 
+def is_sound(task, view, pace, now):
+    """Return whether a worker may be trusted with a task; waiting for another is better if not."""
+    failing = view.status.failing
+    if failing >= UNSOUND_FAILING or (failing >= PROBATION_FAILING and view.tasks):
+        return False
+    relative = pace.relative(view)
+    ends_at = now + relative * task.expected_ms / 1000
+    return relative < SLOW_RELATIVE or ends_at <= task.job.due
+
+
 def count_of_step(task, view):
     """Return how many tasks of the same step are at a worker."""
     return sum(1 for job, step, _ in view.tasks if job == task.job.id and step == task.step)
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -35,6 +35,8 @@
         Why the run is taken back.
     percent, moved_at : int, float
         Latest progress, and when it last grew.
+    looked_at : float
+        When the progress was last asked for.
     """
 
     order: object
@@ -49,6 +51,7 @@
     reason: str = ""
     percent: int = 0
     moved_at: float = 0.0
+    looked_at: float = 0.0
 
     @property
     def key(self):
--- a/tests/direct/test_load.py
+++ b/tests/direct/test_load.py
@@ -24,6 +24,24 @@
     assert [order.job[-2:] for order in take_orders(dispatcher)["s1"]] == ["b2"]
 
 
+def test_restart_of_everything_jobs_wait_until_workers_are_found():
+    """All processes were killed: callers come back before agents have heard from their workers."""
+    dispatcher = make_dispatcher(())
+    dispatcher.submit(make_request(ms=100.0), 0.5)
+    dispatcher.tick(0.9)
+    assert dispatcher.answered == []
+    dispatcher.on_connected("s1", "a")
+    dispatcher.on_status("s1", make_status(), 1.0)
+    assert len(take_orders(dispatcher)["s1"]) == 2
+
+
+def test_full_workers_a_job_without_room_is_refused_at_its_latest_start():
+    dispatcher = make_dispatcher(cpu_free=0)
+    dispatcher.submit(make_request(ms=100.0), 0.5)
+    dispatcher.tick(0.9)
+    assert [job.outcome.state for job in dispatcher.answered] == ["refused"]
+
+
 def test_late_run_at_an_agent_starts_after_those_on_time():
     arbiter, session = make_arbiter(cpu=1000)
     orders = [make_order(index=0, slack_ms=50.0), make_order(index=1, slack_ms=20.0)]
