Every decision on a job is logged: taken, placed again, stopped with its entry

Cause: a job lost with its entry left no line: the entry logged a job only at its end, and agents did not name the jobs whose runs they stopped. Change: a line when a job is taken, with the beliefs that decided it; one when a task runs again; jobs' identifiers in the line on a lost entry.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -25,6 +25,9 @@
 REMEMBER_ENDS = 4096
 """Ends kept for an entry that comes back."""
 
+MOST_JOBS_LOGGED = 50
+"""In one line; a worker holds fewer runs of one entry than this."""
+
 OVERDUE_S = 60.0
 """Added to the latest start of a run that is late, so that it does not make others late."""
 
@@ -187,7 +190,8 @@
         self.sessions.pop(session.entry, None)
         mine = [run for run in self.runs.values() if run.session is session]
         if mine:
-            fields = {"entry": session.entry, "runs": len(mine), "reason": reason}
+            jobs = sorted({run.order.job for run in mine})[:MOST_JOBS_LOGGED]
+            fields = {"entry": session.entry, "runs": len(mine), "jobs": jobs, "reason": reason}
             log.warning("runs of an entry stopped", extra=fields)
         for run in mine:
             self.stop(run, reason, session.gone_at)
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -281,14 +281,14 @@
             reason = f"task {task.step}.{task.index} failed {task.failures} times: {event.reason}"
             self.end(task.job, JobOutcome(FAILED, reason))
             return
-        self.run_again(task, now)
+        self.run_again(task, view, event.kind, event.reason)
 
     def on_ended(self, task, view, event, now):
         """Note that a run has stopped before its end, and let the task run again."""
         task.begun = True
         if event.kind == "lost" or event.reason in ("stalled", "slow"):
             view.avoid_until = now + AVOID_S
-        self.run_again(task, now)
+        self.run_again(task, view, event.kind, event.reason)
 
     def on_returned(self, task, view, event, now):
         """Note that a run never began."""
@@ -303,11 +303,13 @@
             return
         if event.reason in ("unhealthy", "unanswered"):
             view.avoid_until = now + AVOID_S
-        self.run_again(task, now)
+        self.run_again(task, view, event.kind, event.reason)
 
-    def run_again(self, task, now):
+    def run_again(self, task, view, kind, reason):
         """Let a task whose run has ended wait for room once more."""
         run = task.run
+        if task.job.outcome is None:
+            self.log_again(task, view, kind, reason)
         self.leave_worker(task)
         task.avoid.add(task.worker)
         task.run = run
@@ -317,6 +319,24 @@
             task.state = BLOCKED
             self.forget_if_over(task.job)
 
+    @staticmethod
+    def log_again(task, view, kind, reason):
+        """Log why a task runs again, and what was believed of its worker."""
+        status = view.status
+        fields = {
+            "job": task.job.id,
+            "task": f"{task.step}.{task.index}",
+            "run": task.run,
+            "agent": view.node,
+            "worker": status.worker if status else "",
+            "worker_state": status.state if status and view.connected else "out of reach",
+            "failing": round(status.failing, 2) if status else None,
+            "pace": round(status.pace, 2) if status else None,
+            "outcome": kind,
+            "reason": reason,
+        }
+        log.info("task runs again", extra=fields)
+
     # Time
 
     def tick(self, now):
@@ -336,7 +356,7 @@
         log.warning("agent lost", extra={"agent": view.node, "runs": len(view.tasks)})
         for task in list(view.tasks.values()):
             task.begun = True
-            self.run_again(task, now)
+            self.run_again(task, view, "lost", "agent out of reach")
 
     def check_time(self, job, now):
         """End a job that is of no use any more."""
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -97,6 +97,8 @@
             return self.refuse(request, taken)
         future = asyncio.get_running_loop().create_future()
         self.answers[taken] = future
+        fields = {"slack_ms": round((min(map(taken.latest_start, taken.tasks)) - now) * 1000)}
+        log.info("job taken", extra={**self.beliefs(request), **fields})
         self.flush()
         try:
             return await future
@@ -109,21 +111,26 @@
 
     def refuse(self, request, refusal):
         """Return and log the refusal of a job that was never taken."""
-        views = self.dispatcher.workers.values()
         fields = {
-            "job": request.job,
-            "queue": request.queue.name,
             "outcome": REFUSED,
             "reason": refusal.reason,
             "retry_after_ms": round(refusal.retry_after_ms),
+        }
+        log.info("job refused", extra={**self.beliefs(request), **fields})
+        self.telemetry.count("jobs", queue=request.queue.name, state=REFUSED)
+        return JobOutcome(REFUSED, refusal.reason, refusal.retry_after_ms)
+
+    def beliefs(self, request):
+        """Return what decides whether a job is taken, for its log line."""
+        views = self.dispatcher.workers.values()
+        return {
+            "job": request.job,
+            "queue": request.queue.name,
             "configuration": self.control.document.version if self.control.document else 0,
             "workers_ready": sum(view.is_ready for view in views),
             "tasks_waiting": len(self.dispatcher.waiting_tasks),
             "cores_running": self.dispatcher.cores_running / 1000,
         }
-        log.info("job refused", extra=fields)
-        self.telemetry.count("jobs", queue=request.queue.name, state=REFUSED)
-        return JobOutcome(REFUSED, refusal.reason, refusal.retry_after_ms)
 
     # Agents
 
