A predicted wait may use 0.6 of a job's slack; a job that has begun goes on

The log shows jobs placed at once that wait at agents: entries see the same room and choose the same workers.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -9,8 +9,9 @@
 
 __all__ = ["Refusal", "predicted_wait_s", "check_admission"]
 
-START_MARGIN = 1.0
-"""Share of a job's slack that its predicted wait may use."""
+START_MARGIN = 0.6
+"""Share of a job's slack that its predicted wait may use; the rest is for work with less slack that
+comes after it and starts before it."""
 
 LEAST_RETRY_AFTER_MS = 1000.0
 """A caller is not asked back sooner than this; `Retry-After` counts whole seconds."""
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -24,7 +24,8 @@
 silence limit, and the worker's lease, at most 1 s on a clock 2 % slow, has ended."""
 
 LATE_FACTOR = 3.0
-"""An answer is of use until this many latency objectives after the job's arrival."""
+"""An answer is of use until this many latency objectives after the job's arrival. A job of which
+something has run goes on: given up, it would be sent again and run from its start."""
 
 AVOID_S = 2.0
 """How long new work goes elsewhere after a run went wrong on a worker."""
@@ -364,7 +365,7 @@
             self.give_up(job, "the caller's patience has ended")
         elif job.first_placed is None and self.is_hopeless(job, now):
             self.give_up(job, "no room in time")
-        elif now >= job.late_limit(LATE_FACTOR) and not self.is_running(job):
+        elif now >= job.late_limit(LATE_FACTOR) and not (job.begun or job.has_out):
             self.give_up(job, "too late to be of use")
 
     def is_hopeless(self, job, now):
@@ -377,10 +378,6 @@
             return False
         return now >= self.hopeful_until or any(view.is_ready for view in self.workers.values())
 
-    def is_running(self, job):
-        """Return whether every open task of a job runs."""
-        return all(task.state in (RUNNING, DONE) for task in job.tasks)
-
 
 HANDLERS = {
     "started": Dispatcher.on_started,
