A slow worker stays known as slow; a stopping entry takes what surely ends

Change: slowness is kept and forgotten over seconds, and one task at a time tries it; a stopping entry refuses only what may not end.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -72,8 +72,9 @@
         return None
     wait_s = predicted_wait_s(job, waiting, cores_running, now)
     slack_s = min(job.latest_start(task) for task in job.tasks) - now
-    if wait_s <= START_MARGIN * slack_s:
+    allowed_s = START_MARGIN * slack_s
+    if wait_s <= allowed_s:
         return None
-    excess_ms = (wait_s - slack_s) * 1000
-    reason = f"would start {excess_ms:.0f} ms too late"
+    excess_ms = (wait_s - allowed_s) * 1000
+    reason = f"would wait {wait_s * 1000:.0f} ms of {allowed_s * 1000:.0f} ms allowed"
     return Refusal(reason, max(LEAST_RETRY_AFTER_MS, excess_ms))
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -41,7 +41,8 @@
 """Floor of an estimate, so that pace stays finite."""
 
 FORGET_FAILURES_S = 2.0
-"""Time constant after which failures of the past count less, so that a worker is tried again."""
+"""Time constant after which failures and slowness of the past count less, so that a worker which
+gets no work is tried again."""
 
 STALLED_FAILING = 0.8
 """Share of failures that a run which stands still counts as: others will stand still too."""
@@ -421,7 +422,10 @@
     def tick(self, now):
         """Let time pass: entries that have not come back, runs that do not move, old failures."""
         if self.ticked_at is not None:
-            self.failing *= math.exp((self.ticked_at - now) / FORGET_FAILURES_S)
+            kept = math.exp((self.ticked_at - now) / FORGET_FAILURES_S)
+            self.failing *= kept
+            if self.log_pace > math.log(SLOW_FACTOR):
+                self.log_pace *= kept
         self.ticked_at = now
         self.judge_progress(now)
         for session in list(self.sessions.values()):
@@ -437,6 +441,8 @@
             self.stop(run, "stalled", now)
         self.slowness = slowdown(runs)
         for run in find_outrun(runs, self.slowness):
+            self.log_pace = max(self.log_pace, math.log(self.slowness))
+            self.changed = True
             self.stop(run, "slow", now)
 
     @property
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -6,6 +6,7 @@
 
 from onyxfork.direct.admission import Refusal
 from onyxfork.direct.dispatcher import Dispatcher
+from onyxfork.direct.jobs import longest_chain_ms
 from onyxfork.direct.links import ControlLinks, Dialer
 from onyxfork.direct.messages import (
     Place,
@@ -32,8 +33,11 @@
 CONFIGURATION_WAIT_S = 0.7
 """A process that has just started has heard from control by then, or control is out of reach."""
 
-LAST_INTAKE_S = 3.0
-"""After this long into a planned stop a new job is refused, since it could not end in time."""
+SURE_RUN_TIMES = 3.0
+"""While stopping, a job is taken if it could take this many times as long as expected."""
+
+STOP_MARGIN_S = 0.3
+"""Kept of a planned stop for the last answers to leave."""
 
 
 class DirectEntry:
@@ -91,7 +95,7 @@
         request : JobRequest
         """
         now = self.clock.now()
-        if self.stopping_at is not None and now - self.stopping_at > LAST_INTAKE_S:
+        if self.stopping_at is not None and not self.would_end(request, now):
             return self.refuse(request, Refusal("this entry is about to stop"))
         taken = self.dispatcher.submit(request, now)
         if isinstance(taken, Refusal):
@@ -110,6 +114,12 @@
         finally:
             self.answers.pop(taken, None)
 
+    def would_end(self, request, now):
+        """Return whether a job surely ends before this entry does."""
+        longest_s = longest_chain_ms(request.steps) / 1000
+        ends_at = now + SURE_RUN_TIMES * longest_s + STOP_MARGIN_S
+        return ends_at <= self.stopping_at + self.settings.drain_s
+
     def refuse(self, request, refusal):
         """Return and log the refusal of a job that was never taken."""
         fields = {
--- a/onyxfork/direct/jobs.py
+++ b/onyxfork/direct/jobs.py
@@ -4,7 +4,7 @@
 
 from onyxfork.direct.messages import TaskOrder, TaskRef
 
-__all__ = ["Task", "Job", "make_job"]
+__all__ = ["Task", "Job", "make_job", "longest_chain_ms"]
 
 BLOCKED = "blocked"
 WAITING = "waiting"
@@ -150,6 +150,11 @@
     return lengths
 
 
+def longest_chain_ms(steps):
+    """Return the estimated time of the longest chain of steps (milliseconds)."""
+    return max(chain_lengths(steps, [step.expected_ms for step in steps]))
+
+
 def make_job(request, now, estimates):
     """Return the rows of a new job.
 
--- a/onyxfork/direct/placement.py
+++ b/onyxfork/direct/placement.py
@@ -30,6 +30,10 @@
 PROBATION_FAILING = 0.2
 """Above this share of failed runs an entry has one task at a time on a worker."""
 
+SUSPECT_RELATIVE = 1.8
+"""A worker this many times slower than the middle one gets one task at a time of an entry; sound
+workers are closer together."""
+
 SLOW_RELATIVE = 2.0
 """A worker this many times slower than the middle one gets only tasks that are on time there."""
 
@@ -90,6 +94,8 @@
     if failing >= UNSOUND_FAILING or (failing >= PROBATION_FAILING and view.tasks):
         return False
     relative = pace.relative(view)
+    if relative >= SUSPECT_RELATIVE and view.tasks:
+        return False
     ends_at = now + relative * task.expected_ms / 1000
     return relative < SLOW_RELATIVE or ends_at <= task.job.due
 
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -147,6 +147,19 @@
         job.cancel()
 
 
+async def test_stopping_entry_takes_what_surely_ends_and_refuses_the_rest():
+    worker = StandInWorker(run_s=0.02)
+    async with run_path(worker) as (entry, _):
+        entry.settings.drain_s = 5.0
+        entry.stopping_at = entry.clock.now()
+        assert not entry.is_ready
+        async with asyncio.timeout(PATIENCE_S):
+            assert (await entry.run_job(make_request(ms=100.0))).state == "completed"
+            refused = await entry.run_job(make_request("00000000000000b1", ms=2000.0))
+        assert refused.state == "refused"
+        assert {ref.job[-2:] for ref in worker.started} == {"a1"}
+
+
 async def test_silent_worker_is_reported_and_its_runs_are_lost_with_its_lease():
     worker = StandInWorker()
     async with run_path(worker) as (entry, agent):
--- a/tests/direct/test_placement.py
+++ b/tests/direct/test_placement.py
@@ -32,6 +32,11 @@
     assert place_on({"s1": {"pace": 1.5}, **dict(list(statuses.items())[1:])}, tasks=1) == {"s1": 1}
 
 
+def test_slow_worker_gets_one_task_at_a_time_where_it_would_be_on_time():
+    statuses = {"s1": {"pace": 1.9}, "s2": {"cpu_free": 0}, "s3": {"cpu_free": 0}}
+    assert place_on(statuses, tasks=3, ms=60.0) == {"s1": 1}
+
+
 def test_worker_on_the_rack_that_holds_the_data_goes_first():
     statuses = {"s1": {}, "s2": {"labels": ["r1"]}, "s3": {}}
     assert place_on(statuses, tasks=1, rack="r1") == {"s2": 1}
--- a/tests/direct/test_progress.py
+++ b/tests/direct/test_progress.py
@@ -58,6 +58,17 @@
     assert arbiter.pace > 3
 
 
+def test_slowness_is_remembered_after_its_runs_are_gone_and_forgotten_in_time():
+    arbiter = run_with_progress([6, 5, 6], 0.1)
+    for index in range(3):
+        arbiter.take_ends([(make_order(index=index).ref, "stopped")], 1.2)
+    arbiter.tick(1.3)
+    assert arbiter.pace > 3
+    for step in range(100):
+        arbiter.tick(1.3 + step * 0.05)
+    assert arbiter.pace < 2.6
+
+
 def test_failures_are_forgotten():
     arbiter = run_with_progress([0], 0.1)
     arbiter.tick(10.0)
