--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -25,7 +25,7 @@
     retry_after_ms: float = LEAST_RETRY_AFTER_MS
 
 
-def predicted_wait_s(job, waiting, cores_running, now):
+def predicted_wait_s(job, waiting, cores, now):
     """Return how long until the last task of a job that could start now would start.
 
     Parameters
@@ -33,8 +33,8 @@
     job : Job
     waiting : iterable of Task
         Tasks of this entry that have no room yet.
-    cores_running : float
-        Thousandths of a core that this entry's tasks occupy.
+    cores : float
+        Thousandths of a core that this entry's tasks occupy or could occupy now.
     now : float
         Waiting tasks that are late already start after the job's.
 
@@ -51,17 +51,17 @@
     if not work:
         return 0.0
     own = sum(task.spec.cpu * task.expected_ms for task in job.tasks)
-    return (work + own) / max(cores_running, 1.0) / 1000
+    return (work + own) / max(cores, 1.0) / 1000
 
 
-def check_admission(job, waiting, cores_running, now):
+def check_admission(job, waiting, cores, now):
     """Return why a job is refused, or None when it is taken.
 
     Parameters
     ----------
     job : Job
     waiting : collection of Task
-    cores_running : float
+    cores : float
     now : float
 
     Returns
@@ -70,7 +70,7 @@
     """
     if not waiting:
         return None
-    wait_s = predicted_wait_s(job, waiting, cores_running, now)
+    wait_s = predicted_wait_s(job, waiting, cores, now)
     slack_s = min(job.latest_start(task) for task in job.tasks) - now
     allowed_s = START_MARGIN * slack_s
     if wait_s <= allowed_s:
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -45,6 +45,9 @@
 """A run that has not started this long after its order waits at its agent: an order and the news of
 its start take a few milliseconds."""
 
+MOST_SHARE = 0.5
+"""With more than this share of known agents in reach, room is short because of load."""
+
 OVERDUE_S = 60.0
 """Added to the latest start of a task that is late; longer than any slack."""
 
@@ -62,6 +65,8 @@
     ----------
     jobs : dict
         Jobs by identifier until their last run has left its agent.
+    known_agents : int
+        Agents that the directory names, connected or not.
     orders : dict
         Orders to be sent, by agent.
     withdrawals : dict
@@ -75,6 +80,7 @@
     def __init__(self, now, rng=None):
         self.rng = rng or Random()
         self.hopeful_until = now + HOPE_S
+        self.known_agents = 0
         self.jobs = {}
         self.workers = {}
         self.waiting = []
@@ -124,8 +130,8 @@
         for position, step in enumerate(job.request.steps):
             if not can_ever_run(step, self.workers.values()):
                 return Refusal(f"step {position} fits no worker")
-        waiting = self.waiting_tasks
-        return check_admission(job, waiting, self.cores_running, now)
+        free = sum(max(0, view.cpu_free) for view in views)
+        return check_admission(job, self.waiting_tasks, self.cores_running + free, now)
 
     def cancel(self, job, reason):
         """Stop a job whose caller has left; nobody is answered."""
@@ -399,12 +405,13 @@
     def is_hopeless(self, job, now):
         """Return whether a job that waits for room gets none in time.
 
-        While no worker is in reach a late answer is still better than none: workers are not full,
-        they are only about to be found.
+        While most workers are out of reach after a start or a loss, a late answer is still better
+        than none: workers are not full, they are only about to be found.
         """
         if now <= min(map(job.latest_start, job.tasks)):
             return False
-        return now >= self.hopeful_until or any(view.is_ready for view in self.workers.values())
+        ready = sum(view.is_ready for view in self.workers.values())
+        return now >= self.hopeful_until or ready > MOST_SHARE * self.known_agents
 
 
 HANDLERS = {
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -148,6 +148,7 @@
     def follow_directory(self):
         """Keep a connection to each agent that is known."""
         known = {node.node: node for node in self.control.nodes_of("agent")}
+        self.dispatcher.known_agents = len(known)
         for name, node in known.items():
             dialing = self.dialers.get(name)
             if dialing is not None and dialing[0] != node.address:
--- a/tests/direct/test_load.py
+++ b/tests/direct/test_load.py
@@ -14,6 +14,8 @@
 )
 from test_arbiter import kinds, make_arbiter, start_all  # noqa: E402
 
+from onyxfork.direct.admission import Refusal  # noqa: E402
+
 
 def test_burst_after_a_stall_late_work_does_not_make_the_next_late():
     """A worker is lost, its tasks come back late, and on-time work is waiting for the same room."""
@@ -74,6 +76,33 @@
     assert len(take_orders(dispatcher)["s1"]) == 2
 
 
+def test_restart_of_everything_jobs_are_taken_while_the_first_workers_come_back():
+    """Nothing runs yet, so work ends at no rate, but the room of the first worker is free."""
+    dispatcher = make_dispatcher(())
+    for number in range(20):
+        request = make_request(f"{number:016x}", tasks=2, ms=400.0, cpu=3000)
+        assert not isinstance(dispatcher.submit(request, 0.5), Refusal)
+    dispatcher.on_connected("s1", "a")
+    dispatcher.on_status("s1", make_status(cpu_free=32000, cpu=32000), 0.52)
+    later = make_request("00000000000000f1", tasks=1, ms=1800.0, cpu=3000)
+    dispatcher.on_connected("s2", "a")
+    dispatcher.workers["s2"].take_status(make_status(cpu_free=32000, cpu=32000))
+    assert not isinstance(dispatcher.submit(later, 0.52), Refusal)
+
+
+def test_restart_of_everything_late_jobs_wait_while_most_workers_are_out_of_reach():
+    dispatcher = make_dispatcher(("s1",), cpu_free=0)
+    dispatcher.known_agents = 4
+    dispatcher.submit(make_request(ms=100.0), 0.5)
+    dispatcher.tick(0.9)
+    assert dispatcher.answered == []
+    for node in ("s2", "s3"):
+        dispatcher.on_connected(node, "a")
+        dispatcher.on_status(node, make_status(cpu_free=0), 0.9)
+    dispatcher.tick(0.9)
+    assert [job.outcome.state for job in dispatcher.answered] == ["refused"]
+
+
 def test_full_workers_a_job_without_room_is_refused_at_its_latest_start():
     dispatcher = make_dispatcher(cpu_free=0)
     dispatcher.submit(make_request(ms=100.0), 0.5)
