--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -10,9 +10,10 @@
 import math
 from itertools import count
 
-from onyxfork.direct.messages import TaskEvent, WorkerStatus
+from onyxfork.direct.arbiter_entries import Entries
+from onyxfork.direct.messages import WorkerStatus
 from onyxfork.direct.progress import SLOW_FACTOR, find_outrun, find_stalled, slowdown
-from onyxfork.direct.runs import QUEUED, RUNNING, STARTING, STOPPING, Run, Session
+from onyxfork.direct.runs import QUEUED, READY, RUNNING, STARTING, STOPPING
 
 __all__ = ["Arbiter"]
 
@@ -25,9 +26,6 @@
 REMEMBER_ENDS = 4096
 """Ends kept for an entry that comes back."""
 
-MOST_JOBS_LOGGED = 50
-"""In one line; a worker holds fewer runs of one entry than this."""
-
 OVERDUE_S = 60.0
 """Added to the latest start of a run that is late, so that it does not make others late."""
 
@@ -52,10 +50,9 @@
 
 ABSENT = "absent"
 SUSPECT = "suspect"
-READY = "ready"
 
 
-class Arbiter:
+class Arbiter(Entries):
     """The runs of one worker.
 
     Attributes
@@ -152,93 +149,6 @@
             if run.state == QUEUED:
                 self.finish(run, "returned", now, reason)
 
-    # Entries
-
-    def connect(self, entry, incarnation, connection):
-        """Return the session of an entry's process on its new connection."""
-        session = self.sessions.get(entry)
-        if session is None or session.incarnation != incarnation:
-            if session is not None:
-                self.drop_session(session, "the entry has restarted")
-            session = self.sessions[entry] = Session(entry, incarnation)
-        session.connection = connection
-        session.orders_seen = 0
-        return session
-
-    def disconnect(self, session, connection, now):
-        """Note that a connection has ended."""
-        if session.connection is connection:
-            session.connection = None
-            session.gone_at = now
-
-    def resume(self, session, refs, now):
-        """Compare the runs that an entry believes in with those that are here."""
-        wanted = {ref.key: ref for ref in refs}
-        for run in list(self.runs.values()):
-            if run.session is not session:
-                continue
-            ref = wanted.pop(run.key, None)
-            if ref is None or ref.run != run.order.run:
-                self.stop(run, "not wanted any more", now)
-            elif run.state == RUNNING:
-                session.events.append(run.event("started", now))
-        for ref in wanted.values():
-            session.events.append(session.ended.get(ref) or returned(ref, "never arrived"))
-        self.changed = True
-
-    def drop_session(self, session, reason):
-        """Stop everything that an entry's process has ordered."""
-        self.sessions.pop(session.entry, None)
-        mine = [run for run in self.runs.values() if run.session is session]
-        if mine:
-            jobs = sorted({run.order.job for run in mine})[:MOST_JOBS_LOGGED]
-            fields = {"entry": session.entry, "runs": len(mine), "jobs": jobs, "reason": reason}
-            log.warning("runs of an entry stopped", extra=fields)
-        for run in mine:
-            self.stop(run, reason, session.gone_at)
-
-    def place(self, session, orders, now):
-        """Take orders of an entry."""
-        session.orders_seen += len(orders)
-        self.changed = True
-        for order in orders:
-            refusal = self.find_refusal(session, order)
-            if refusal == "":
-                continue
-            if refusal is not None:
-                session.events.append(returned(order.ref, refusal))
-                continue
-            run = Run(order, session, now, now + order.slack_ms / 1000)
-            self.runs[run.key] = run
-            self.count_queued(run, 1)
-            heapq.heappush(self.queue, (run.latest_start, next(self.sequence), run))
-
-    def find_refusal(self, session, order):
-        """Return why an order is handed back; empty when it is known already, None to take it."""
-        known = self.runs.get(order.ref.key)
-        if known is not None and known.session is session and known.order.run == order.run:
-            return ""
-        if known is not None:
-            return "copy" if known.session is not session else "busy"
-        return None if self.state == READY else self.state
-
-    def withdraw(self, session, refs, now):
-        """Stop runs that their entry does not want any more."""
-        for ref in refs:
-            run = self.runs.get(ref.key)
-            if run is not None and run.session is session and run.order.run == ref.run:
-                self.stop(run, "withdrawn", now)
-            else:
-                session.events.append(session.ended.get(ref) or returned(ref, "never arrived"))
-
-    def recall(self, session, refs, now):
-        """Hand back runs that still wait here; there is room for them elsewhere."""
-        for ref in refs:
-            run = self.runs.get(ref.key)
-            mine = run is not None and run.session is session and run.order.run == ref.run
-            if mine and run.state == QUEUED:
-                self.finish(run, "returned", now, "recalled")
-
     # Starts and stops
 
     def schedule(self, now):
@@ -478,8 +388,3 @@
             self.failing,
             worker.labels if worker else [],
         )
-
-
-def returned(ref, reason):
-    """Return the event of a run that never began."""
-    return TaskEvent(ref.job, ref.step, ref.index, ref.run, "returned", reason)
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -6,6 +6,7 @@
 
 __all__ = ["Run", "Worker", "Session"]
 
+READY = "ready"
 QUEUED = "queued"
 STARTING = "starting"
 RUNNING = "running"
--- a/tests/direct/test_dispatcher.py
+++ b/tests/direct/test_dispatcher.py
@@ -13,7 +13,7 @@
 )
 
 from onyxfork.direct.admission import Refusal  # noqa: E402
-from onyxfork.direct.dispatcher import HOPE_S, LOST_AFTER_S, RUN_JUMP  # noqa: E402
+from onyxfork.direct.dispatcher_news import HOPE_S, LOST_AFTER_S, RUN_JUMP  # noqa: E402
 from onyxfork.direct.requests import Step  # noqa: E402
 
 
