--- /dev/null
+++ b/tests/direct/test_control_state.py
@@ -0,0 +1,89 @@
+"""The agreed document: the highest version wins, whatever is sent again; and the directory."""
+
+from types import SimpleNamespace
+
+from onyxfork.direct.control_state import Configure, DocumentState
+from onyxfork.direct.directory import KEEP_S, NodeDirectory
+from onyxfork.direct.messages import ConfigurationDocument, Directory, Register
+from onyxfork.messages import pack
+from onyxfork.utils import FakeClock
+
+
+def apply(state, index, version, body=b"{}"):
+    return state.apply(index, pack([Configure(version, body)]))
+
+
+def test_highest_version_is_in_force_in_any_order_and_sent_again():
+    state = DocumentState()
+    for index, version in enumerate([3, 7, 5, 7, 3], start=1):
+        result = apply(state, index, version, str(version).encode())
+        assert result.accepted
+    assert (state.version, state.document.body, state.applied) == (7, b"7", 5)
+
+
+def test_other_content_under_the_version_held_changes_nothing():
+    state = DocumentState()
+    apply(state, 1, 7, b"first")
+    assert apply(state, 2, 7, b"second").version == 7
+    assert state.document.body == b"first"
+
+
+def test_snapshot_holds_the_document():
+    state = DocumentState()
+    assert DocumentState.from_snapshot(state.to_snapshot()).document is None
+    apply(state, 4, 9, b"body")
+    restored = DocumentState.from_snapshot(state.to_snapshot())
+    assert (restored.applied, restored.document) == (4, ConfigurationDocument(9, b"body"))
+
+
+class StandInConnection:
+    def __init__(self, node, role="agent"):
+        self.peer = SimpleNamespace(node=node, role=role, zone="a")
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+def make_directory(version=2):
+    state = DocumentState(1, ConfigurationDocument(version, b"{}"))
+    clock = FakeClock()
+    return NodeDirectory(state, clock, lambda: ["10.0.0.1:1"]), state, clock
+
+
+def test_node_is_sent_the_configuration_only_when_it_holds_an_older_one():
+    directory, state, _ = make_directory()
+    old, current = StandInConnection("s1"), StandInConnection("s2")
+    directory.register(old, Register("10.0.0.5:2", 1))
+    directory.register(current, Register("10.0.0.6:2", 2))
+    documents = [
+        [item.version for item in node.sent if isinstance(item, ConfigurationDocument)]
+        for node in (old, current)
+    ]
+    assert documents == [[2], []]
+    state.document = ConfigurationDocument(4, b"{}")
+    directory.flush()
+    directory.flush()
+    assert [item.version for item in current.sent if isinstance(item, ConfigurationDocument)] == [4]
+
+
+def names(connection):
+    directories = [item for item in connection.sent if isinstance(item, Directory)]
+    return [sorted(node.node for node in item.nodes) for item in directories]
+
+
+def test_changes_of_the_directory_leave_together_and_lost_nodes_stay_a_while():
+    directory, _, clock = make_directory()
+    first, second = StandInConnection("e1", "entry"), StandInConnection("s1")
+    directory.register(first, Register("10.0.0.5:3"))
+    directory.register(second, Register("10.0.0.6:2"))
+    directory.beat(True)
+    directory.beat(True)
+    assert names(first) == [["e1"], ["e1", "s1"]]
+    directory.drop(second)
+    clock.advance(KEEP_S - 1)
+    directory.beat(True)
+    assert names(first)[-1] == ["e1", "s1"]
+    clock.advance(2)
+    directory.beat(True)
+    assert names(first)[-1] == ["e1"]
--- /dev/null
+++ b/tests/direct/test_telemetry.py
@@ -0,0 +1,27 @@
+"""Counters, histograms and gauges in the text format of a scrape."""
+
+from onyxfork.direct.telemetry import Telemetry
+
+
+def render(telemetry):
+    text, content_type = telemetry.render()
+    assert content_type.startswith("text/plain")
+    return text.decode().splitlines()
+
+
+def test_counters_histograms_and_gauges_are_rendered_with_their_labels():
+    telemetry = Telemetry("entry", "e1", "a")
+    telemetry.count("jobs", queue="q", state="completed")
+    telemetry.count("jobs", queue="q", state="completed")
+    for value in (0.5, 150.0, 20000.0):
+        telemetry.observe("job_ms", value, queue="q")
+    telemetry.gauge("jobs_inside", lambda: 3)
+    lines = render(telemetry)
+    common = 'role="entry"'
+    counter = next(line for line in lines if line.startswith("onyxfork_jobs_total"))
+    assert common in counter and counter.endswith(" 2.0")
+    buckets = [line for line in lines if line.startswith("onyxfork_job_ms_bucket")]
+    assert any('le="200"' in line and line.endswith(" 2.0") for line in buckets)
+    assert any('le="+Inf"' in line and line.endswith(" 3.0") for line in buckets)
+    gauge = next(line for line in lines if line.startswith("onyxfork_jobs_inside"))
+    assert gauge.endswith(" 3.0")
