Workers of another service get no tasks

Cause: found in reading the diff: placement never compared a worker's service with its queue's. Change: choose_worker and can_ever_run look at the service. The test failed first.

--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -112,7 +112,7 @@
         if not views:
             return None if now < self.hopeful_until else Refusal("no worker is in reach")
         for position, step in enumerate(job.request.steps):
-            if not can_ever_run(step, self.workers.values()):
+            if not can_ever_run(step, job.request.queue.service, self.workers.values()):
                 return Refusal(f"step {position} fits no worker")
         free = sum(max(0, view.cpu_free) for view in views)
         return check_admission(job, self.waiting_tasks, self.cores_running + free, now)
--- a/onyxfork/direct/placement.py
+++ b/onyxfork/direct/placement.py
@@ -38,9 +38,10 @@
 """A worker this many times slower than the middle one gets only tasks that are on time there."""
 
 
-def can_ever_run(step, views):
-    """Return whether any known worker is large enough for a task of `step`."""
-    return any(view.could_run(step) for view in views if view.status is not None)
+def can_ever_run(step, service, views):
+    """Return whether any known worker of a service is large enough for a task of `step`."""
+    known = [view for view in views if view.status is not None]
+    return any(view.status.service == service and view.could_run(step) for view in known)
 
 
 def cost(task, view, pace, rng, now):
@@ -76,9 +77,11 @@
     WorkerView or None
     """
     best, best_cost = None, float("inf")
-    step = task.spec
+    step, service = task.spec, task.job.request.queue.service
     for view in views:
-        if not view.is_ready or not view.has_room(step) or not is_sound(task, view, pace, now):
+        if not view.is_ready or view.status.service != service:
+            continue
+        if not view.has_room(step) or not is_sound(task, view, pace, now):
             continue
         if step.most_per_worker and count_of_step(task, view) >= step.most_per_worker:
             continue
--- a/tests/direct/test_placement.py
+++ b/tests/direct/test_placement.py
@@ -57,3 +57,15 @@
     ((node, (order,)),) = take_orders(dispatcher).items()
     dispatcher.on_events(node, [event(order, "stopped", "stalled")], 0.1)
     assert node not in take_orders(dispatcher)
+
+
+def test_worker_of_another_service_gets_nothing():
+    dispatcher = make_dispatcher(("s1", "s2"))
+    other = make_status()
+    other.service = "another"
+    dispatcher.on_status("s1", other, 0.0)
+    dispatcher.submit(make_request(tasks=6), 0.0)
+    assert list(take_orders(dispatcher)) == ["s2"]
+    dispatcher.on_status("s2", other, 0.1)
+    refusal = dispatcher.submit(make_request("00000000000000b1"), 0.1)
+    assert "fits no worker" in refusal.reason
