Configurations are announced by every control instance and fetched from one

Cause: each control instance sent each node the whole document after each change, so an entry received it five times. Ruled out: room (16 workers ready, nothing waiting), control (acks in time), the frozen control instance.

--- a/onyxfork/direct/control.py
+++ b/onyxfork/direct/control.py
@@ -6,7 +6,7 @@
 from onyxfork.control.replica import Replica
 from onyxfork.direct.control_state import Configure, DocumentState
 from onyxfork.direct.directory import NodeDirectory
-from onyxfork.direct.messages import Register
+from onyxfork.direct.messages import FetchDocument, Register
 
 __all__ = ["DocumentReplica"]
 
@@ -38,6 +38,8 @@
         """Dispatch one message by its type."""
         if isinstance(message, Register):
             self.fanout.register(connection, message)
+        elif isinstance(message, FetchDocument):
+            self.fanout.send_document(connection)
         else:
             super().on_message(connection, message)
 
--- a/onyxfork/direct/directory.py
+++ b/onyxfork/direct/directory.py
@@ -2,7 +2,8 @@
 
 from attrs import define
 
-from onyxfork.direct.messages import Directory, DirectoryNode
+from onyxfork.direct.documents import compress_document
+from onyxfork.direct.messages import Directory, DirectoryNode, DocumentAnnounced
 
 __all__ = ["NodeDirectory"]
 
@@ -16,7 +17,7 @@
 
 @define(eq=False)
 class Follower:
-    """A connected node and the version of the configuration that it holds."""
+    """A connected node and the newest configuration that it holds or has been told of."""
 
     node: DirectoryNode
     version: int
@@ -43,6 +44,7 @@
         self.gone = {}
         self.sent_control = []
         self.dirty = False
+        self.transfer = None
 
     def replace_state(self, state):
         """Go on with a state that came as a snapshot."""
@@ -54,7 +56,7 @@
         node = DirectoryNode(peer.node, peer.role, peer.zone, message.address)
         follower = self.followers[connection] = Follower(node, message.version)
         self.gone.pop(peer.node, None)
-        self.send_document(connection, follower)
+        self.announce(connection, follower)
         connection.send(self.make_directory())
         self.dirty = True
 
@@ -65,15 +67,24 @@
             self.gone[follower.node.node] = (self.clock.now(), follower.node)
 
     def flush(self):
-        """Send every node the configuration when it holds an older one."""
+        """Announce the configuration to every node that has not heard of it."""
         for connection, follower in self.followers.items():
-            self.send_document(connection, follower)
+            self.announce(connection, follower)
 
-    def send_document(self, connection, follower):
-        """Send one node the configuration when it holds an older one."""
+    def announce(self, connection, follower):
+        """Announce the configuration to one node unless it has heard of it."""
         if follower.version < self.state.version:
             follower.version = self.state.version
-            connection.send(self.state.document)
+            connection.send(DocumentAnnounced(self.state.version))
+
+    def send_document(self, connection):
+        """Send a node the newest configuration, compressed once for all."""
+        document = self.state.document
+        if document is None:
+            return
+        if self.transfer is None or self.transfer.version != document.version:
+            self.transfer = compress_document(document)
+        connection.send(self.transfer)
 
     def beat(self, current):
         """Send the directory after a change."""
--- a/onyxfork/direct/links.py
+++ b/onyxfork/direct/links.py
@@ -8,7 +8,14 @@
 import logging
 from random import Random
 
-from onyxfork.direct.messages import ConfigurationDocument, Directory, Register
+from onyxfork.direct.documents import DocumentFetcher, decompress_document
+from onyxfork.direct.messages import (
+    Directory,
+    DocumentAnnounced,
+    DocumentTransfer,
+    FetchDocument,
+    Register,
+)
 from onyxfork.errors import OnyxforkError, ProtocolError
 from onyxfork.messages import open_connection
 
@@ -19,6 +26,9 @@
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 0.5
 REFRESH_S = 0.5
+FETCH_TICK_S = 0.1
+"""How often a node looks whether a configuration that it has asked for is overdue."""
+
 FORGET_AFTER_S = 30.0
 """A node that no control instance names any more is forgotten after this long without contact."""
 
@@ -107,6 +117,7 @@
         self.make_hello = make_hello
         self.telemetry = telemetry
         self.document = None
+        self.fetcher = DocumentFetcher()
         self.directories = {}
         self.learned = {}
         self.connections = {}
@@ -127,6 +138,7 @@
 
     async def run(self, spawn):
         """Keep a connection to each control instance open."""
+        spawn(self.keep_fetching())
         while True:
             wanted = self.wanted()
             for address in wanted:
@@ -139,6 +151,18 @@
             self.forget_old()
             await asyncio.sleep(REFRESH_S)
 
+    async def keep_fetching(self):
+        """Ask another instance when a configuration does not arrive."""
+        while True:
+            await asyncio.sleep(FETCH_TICK_S)
+            self.fetch_from(self.fetcher.due(self.clock.now()))
+
+    def fetch_from(self, address):
+        """Ask a control instance for the newest configuration; None asks nobody."""
+        connection = self.connections.get(address)
+        if connection is not None:
+            connection.send(FetchDocument())
+
     def wanted(self):
         """Return the addresses of control instances: configured ones and those learned."""
         wanted = {str(address) for address in self.settings.control}
@@ -167,12 +191,16 @@
     def closed(self, address, reason):
         """Note that a control instance is out of reach."""
         self.connections.pop(address, None)
+        self.fetcher.on_closed(address)
         log.info("control disconnected", extra={"control": address, "reason": reason})
 
     def take(self, address, item):
         """Take one message of control."""
-        if isinstance(item, ConfigurationDocument):
-            self.take_document(item, address)
+        if isinstance(item, DocumentAnnounced):
+            now = self.clock.now()
+            self.fetch_from(self.fetcher.on_announced(address, item.version, now))
+        elif isinstance(item, DocumentTransfer):
+            self.take_document(decompress_document(item), address)
         elif isinstance(item, Directory):
             self.learned[address] = item.control
             self.directories[address] = item.nodes
@@ -186,6 +214,7 @@
         if document.version <= held:
             return
         self.document = document
+        self.fetcher.on_held(document.version)
         self.telemetry.count("configurations")
         fields = {"version": document.version, "before": held, "source": source}
         log.info("configuration taken", extra=fields)
--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -18,6 +18,9 @@
     "DirectoryNode",
     "Directory",
     "ConfigurationDocument",
+    "DocumentAnnounced",
+    "FetchDocument",
+    "DocumentTransfer",
     "Sighted",
 ]
 
@@ -214,6 +217,29 @@
     body: bytes
 
 
+@message(144)
+@define
+class DocumentAnnounced:
+    """A control instance tells a node which configuration is in force; see `FetchDocument`."""
+
+    version: int
+
+
+@message(145)
+@define
+class FetchDocument:
+    """A node asks one control instance for the newest configuration."""
+
+
+@message(146)
+@define
+class DocumentTransfer:
+    """The newest configuration of a control instance, compressed with zlib."""
+
+    version: int
+    compressed: bytes
+
+
 @message(143)
 @define
 class Sighted:
--- a/tests/direct/test_control_state.py
+++ b/tests/direct/test_control_state.py
@@ -4,7 +4,14 @@
 
 from onyxfork.direct.control_state import Configure, DocumentState
 from onyxfork.direct.directory import KEEP_S, NodeDirectory
-from onyxfork.direct.messages import ConfigurationDocument, Directory, Register
+from onyxfork.direct.documents import decompress_document
+from onyxfork.direct.messages import (
+    ConfigurationDocument,
+    Directory,
+    DocumentAnnounced,
+    DocumentTransfer,
+    Register,
+)
 from onyxfork.messages import pack
 from onyxfork.utils import FakeClock
 
@@ -51,20 +58,40 @@
     return NodeDirectory(state, clock, lambda: ["10.0.0.1:1"]), state, clock
 
 
-def test_node_is_sent_the_configuration_only_when_it_holds_an_older_one():
+def announced(connection):
+    return [item.version for item in connection.sent if isinstance(item, DocumentAnnounced)]
+
+
+def test_node_is_told_of_the_configuration_only_when_it_holds_an_older_one():
     directory, state, _ = make_directory()
     old, current = StandInConnection("s1"), StandInConnection("s2")
     directory.register(old, Register("10.0.0.5:2", 1))
     directory.register(current, Register("10.0.0.6:2", 2))
-    documents = [
-        [item.version for item in node.sent if isinstance(item, ConfigurationDocument)]
-        for node in (old, current)
-    ]
-    assert documents == [[2], []]
+    assert (announced(old), announced(current)) == ([2], [])
     state.document = ConfigurationDocument(4, b"{}")
     directory.flush()
     directory.flush()
-    assert [item.version for item in current.sent if isinstance(item, ConfigurationDocument)] == [4]
+    assert (announced(old), announced(current)) == ([2, 4], [4])
+    assert not any(isinstance(item, DocumentTransfer) for item in old.sent + current.sent)
+
+
+def test_node_that_asks_is_sent_the_newest_configuration():
+    directory, state, _ = make_directory()
+    node = StandInConnection("s1")
+    directory.register(node, Register("10.0.0.5:2", 0))
+    for version in (3, 4):
+        state.document = ConfigurationDocument(version, b"body %d" % version)
+        directory.send_document(node)
+    transfers = [item for item in node.sent if isinstance(item, DocumentTransfer)]
+    assert [decompress_document(item).body for item in transfers] == [b"body 3", b"body 4"]
+
+
+def test_instance_without_a_configuration_sends_none():
+    directory, state, _ = make_directory()
+    state.document = None
+    node = StandInConnection("s1")
+    directory.send_document(node)
+    assert node.sent == []
 
 
 def names(connection):
--- /dev/null
+++ b/tests/direct/test_documents.py
@@ -0,0 +1,133 @@
+"""A configuration is announced by every control instance and fetched from one of them."""
+
+import json
+import zlib
+
+import pytest
+
+from onyxfork.addresses import Address
+from onyxfork.direct.control_state import DocumentState
+from onyxfork.direct.directory import NodeDirectory
+from onyxfork.direct.documents import (
+    FETCH_AGAIN_S,
+    MOST_BODY_BYTES,
+    DocumentFetcher,
+    compress_document,
+    decompress_document,
+)
+from onyxfork.direct.links import ControlLinks
+from onyxfork.direct.messages import (
+    ConfigurationDocument,
+    DocumentTransfer,
+    FetchDocument,
+    Register,
+)
+from onyxfork.direct.settings import DirectSettings
+from onyxfork.direct.telemetry import Telemetry
+from onyxfork.errors import ProtocolError
+from onyxfork.messages import pack
+from onyxfork.utils import FakeClock
+
+
+def test_document_survives_compression():
+    document = ConfigurationDocument(7, b'{"version": 7}' * 1000)
+    transfer = compress_document(document)
+    assert len(transfer.compressed) < len(document.body) / 10
+    assert decompress_document(transfer) == document
+
+
+@pytest.mark.parametrize(
+    "compressed",
+    [b"", b"no zlib", zlib.compress(b"{}")[:-3], zlib.compress(bytes(MOST_BODY_BYTES + 1))],
+    ids=["empty", "not compressed", "cut short", "too large"],
+)
+def test_unreadable_document_is_a_protocol_error_that_names_the_version(compressed):
+    with pytest.raises(ProtocolError, match="configuration 9"):
+        decompress_document(DocumentTransfer(9, compressed))
+
+
+def test_version_announced_by_several_instances_is_asked_for_once():
+    fetcher = DocumentFetcher()
+    asked = [fetcher.on_announced(address, 4, 0.0) for address in ("a", "b", "c")]
+    assert asked == ["a", None, None]
+    fetcher.on_held(4)
+    assert fetcher.on_announced("d", 4, 0.1) is None
+    assert fetcher.due(10.0) is None
+
+
+def test_silent_instance_is_given_up_for_another():
+    fetcher = DocumentFetcher()
+    fetcher.on_announced("a", 4, 0.0)
+    fetcher.on_announced("b", 4, 0.0)
+    assert fetcher.due(FETCH_AGAIN_S / 2) is None
+    assert fetcher.due(FETCH_AGAIN_S) == "b"
+    assert fetcher.due(FETCH_AGAIN_S * 1.5) is None
+    assert fetcher.due(FETCH_AGAIN_S * 2) == "a"
+
+
+def test_instance_that_closes_its_connection_is_replaced_at_once():
+    fetcher = DocumentFetcher()
+    fetcher.on_announced("a", 4, 0.0)
+    fetcher.on_announced("b", 4, 0.0)
+    fetcher.on_closed("a")
+    assert fetcher.due(0.01) == "b"
+
+
+def test_nobody_is_asked_again_when_no_instance_is_left():
+    fetcher = DocumentFetcher()
+    fetcher.on_announced("a", 4, 0.0)
+    fetcher.on_closed("a")
+    assert fetcher.due(1.0) is None
+    assert fetcher.on_announced("a", 4, 2.0) == "a"
+
+
+def large_body(version, routes=350):
+    """Return a configuration as large as the operator's largest changes."""
+    rows = [
+        {"name": f"r-{at:x}", "host": f"nony{at}.example", "timeoutMs": 1500, "service": "huvo11a"}
+        for at in range(routes)
+    ]
+    return json.dumps({"version": version, "routes": rows}).encode()
+
+
+class StandInConnection:
+    """Carries messages to a function and counts their bytes."""
+
+    def __init__(self, deliver):
+        self.deliver = deliver
+        self.bytes = 0
+
+    def send(self, item):
+        self.bytes += len(pack([item]))
+        self.deliver(item)
+
+
+def test_storm_of_configurations_loads_an_entrys_link_with_one_document_a_change():
+    """Pattern: several changes a second, five control instances, an entry on a thin link."""
+    settings = DirectSettings("e1", "a", "test", Address("127.0.0.1", 0), [])
+    links = ControlLinks(settings, FakeClock(1.0), None, Telemetry("entry", "e1", "a"))
+    states = {f"c{number}": DocumentState() for number in range(5)}
+    down, directories = {}, {}
+    for name, state in states.items():
+        directory = NodeDirectory(state, FakeClock(1.0), lambda: [])
+        down[name] = StandInConnection(lambda item, name=name: links.take(name, item))
+        down[name].peer = settings.hello("entry", 1.0)
+
+        def take(item, directory=directory, name=name):
+            assert isinstance(item, (FetchDocument, Register))
+            if isinstance(item, FetchDocument):
+                directory.send_document(down[name])
+            else:
+                directory.register(down[name], item)
+
+        links.opened(name, StandInConnection(take))
+        directories[name] = directory
+    changes = 10
+    before = sum(connection.bytes for connection in down.values())
+    for version in range(1, changes + 1):
+        for name, state in states.items():
+            state.document = ConfigurationDocument(version, large_body(version))
+            directories[name].flush()
+    assert links.document.body == large_body(changes)
+    received = sum(connection.bytes for connection in down.values()) - before
+    assert received < changes * len(large_body(changes)) / 2
--- a/tests/direct/test_links.py
+++ b/tests/direct/test_links.py
@@ -1,6 +1,7 @@
 """What a node keeps of what control has said."""
 
 from onyxfork.addresses import Address
+from onyxfork.direct.documents import compress_document
 from onyxfork.direct.links import FORGET_AFTER_S, ControlLinks
 from onyxfork.direct.messages import ConfigurationDocument, Directory, DirectoryNode
 from onyxfork.direct.settings import DirectSettings
@@ -23,7 +24,7 @@
     taken = []
     links.on_document.append(lambda document: taken.append(document.version))
     for address, version in (("a", 3), ("b", 5), ("a", 4), ("b", 5), ("a", 6)):
-        links.take(address, ConfigurationDocument(version, b"{}"))
+        links.take(address, compress_document(ConfigurationDocument(version, b"{}")))
     assert taken == [3, 5, 6]
 
 
