--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -177,7 +177,7 @@
     async def tell_sighted(self, node):
         """Tell one entry where this agent is."""
         settings = self.settings
-        mine = DirectoryNode(settings.node, "agent", settings.zone, str(settings.listen))
+        mine = DirectoryNode(settings.node, "agent", settings.zone, str(settings.address))
         host, _, port = node.address.rpartition(":")
         try:
             async with open_connection(
@@ -227,7 +227,7 @@
         spawn(agent.dial_back())
         spawn(agent.control.run(spawn))
         spawn(serve_when_settled(agent))
-        agent.control.register(str(settings.listen))
+        agent.control.register(str(settings.address))
         yield agent
 
 
--- a/onyxfork/direct/settings.py
+++ b/onyxfork/direct/settings.py
@@ -27,6 +27,10 @@
     node, zone, cluster : str
     listen : Address
         For the other processes of the cluster.
+    advertise : Address or None
+        Where the other processes reach this one, if not at `listen`: it stands behind a forwarder.
+    clock_file : str
+        File with milliseconds to add to the time of day, for experiments; empty for none.
     control : list of Address
         Control instances that are known from the start; more are learned from them.
     lease_ms : float
@@ -42,10 +46,17 @@
     control: list[Address]
     lease_ms: float = 1000.0
     drain_s: float = 5.0
+    advertise: Address | None = None
+    clock_file: str = ""
     timing: Timing = NODE_TIMING
     control_timing: Timing = CONTROL_TIMING
     incarnation: str = field(factory=lambda: uuid4().hex[:12])
 
+    @property
+    def address(self):
+        """Where the other processes reach this one."""
+        return self.advertise or self.listen
+
     def hello(self, role, now):
         """Return what a process of these settings says of itself."""
         return Hello(
--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -267,6 +267,41 @@
         write_page(measured, page)
 
 
+def soak(
+    *,
+    seed: int = 1,
+    seconds: float = 20.0,
+    seeds: int = 1,
+    controls: int = 3,
+    entries: int = 3,
+    agents: int = 5,
+    keep: Path | None = None,
+):
+    """Run the platform's programs under random faults and check the promises.
+
+    :param seed: chooses the faults and the load; the same seed draws the same faults
+    :param seconds: how long faults begin; a calm and some more load follow
+    :param seeds: how many seeds to run, one after the other
+    :param controls: how many control instances
+    :param entries: how many entries
+    :param agents: how many agents, each with a stand-in worker
+    :param keep: folder for settings, logs and data, one folder a seed
+    """
+    import asyncio
+
+    from onyxfork.workload.soak import run_soak
+    from onyxfork.workload.soak.schedule import SoakSize
+
+    size = SoakSize(controls, entries, agents)
+    failed = 0
+    for one in range(seed, seed + seeds):
+        folder = keep / f"seed-{one}" if keep is not None else None
+        verdict = asyncio.run(run_soak(one, seconds, size, folder))
+        failed += not verdict.passed
+        print(verdict)
+    return EXIT_REFUSED if failed else 0
+
+
 COMMANDS = {
     "entry": entry,
     "agent": agent,
@@ -279,6 +314,7 @@
     "bench": bench,
     "bench-control": bench_control,
     "bench-capacity": bench_capacity,
+    "soak": soak,
 }
 
 
--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -18,7 +18,7 @@
     ENTRY_PORT,
     load_platform_settings,
 )
-from onyxfork.utils import SystemClock
+from onyxfork.utils import clock_for
 
 __all__ = ["main"]
 
@@ -41,7 +41,7 @@
     from onyxfork.platform.callers import Callers
 
     own = settings.direct(ENTRY_PORT)
-    entry = DirectEntry(own, SystemClock(), telemetry)
+    entry = DirectEntry(own, clock_for(own.clock_file), telemetry)
     callers = Callers(entry)
 
     def reload(fresh):
@@ -68,7 +68,7 @@
         own.control = fresh.control_instances()
 
     async with open_worker_client(settings.worker) as client:
-        agent = DirectAgent(own, client, SystemClock(), telemetry)
+        agent = DirectAgent(own, client, clock_for(own.clock_file), telemetry)
         reports = Reports(agent, settings.service)
         async with run_agent(agent), run_server(reports.handle, settings.reports):
             yield reload, agent.stop
--- a/onyxfork/platform/settings.py
+++ b/onyxfork/platform/settings.py
@@ -15,6 +15,12 @@
 __all__ = ["PlatformSettings", "load_platform_settings", "SETTINGS_VARIABLE"]
 
 SETTINGS_VARIABLE = "ONYXFORK_BOOT"
+LISTEN_HOST_VARIABLE = "ONYXFORK_LISTEN_HOST"
+"""IP number for the project's own protocol on a host that others reach through a forwarder."""
+
+CLOCK_FILE_VARIABLE = "ONYXFORK_CLOCK_FILE"
+"""File with milliseconds to add to the time of day, for experiments."""
+
 CLUSTER = "platform"
 CONTROL_PORT, AGENT_PORT, ENTRY_PORT = 0, 1, 2
 """Positions within the machine's range of internal ports."""
@@ -50,6 +56,9 @@
         From SIGTERM to SIGKILL.
     losses : int
         Disks that may be lost at the same time.
+    listen_host : str
+        IP number to listen at for the project's own protocol, if not `host`.
+    clock_file : str
     """
 
     node: str
@@ -67,11 +76,17 @@
     lease_ms: float
     grace_s: float
     losses: int
+    listen_host: str = ""
+    clock_file: str = ""
 
     def internal(self, position, host=None):
-        """Return an internal address of this or another machine."""
+        """Return an internal address of this or another machine, as others reach it."""
         return Address(host or self.host, self.internal_ports[0] + position)
 
+    def internal_listen(self, position):
+        """Return the address at which this process listens for others."""
+        return self.internal(position, self.listen_host)
+
     def control_instances(self):
         """Return the internal addresses of the seeds; ports are the same on every machine."""
         return [self.internal(CONTROL_PORT, parse(seed).host) for seed in self.seeds]
@@ -82,7 +97,9 @@
             node=self.node,
             zone=self.zone,
             cluster=CLUSTER,
-            listen=self.internal(position),
+            listen=self.internal_listen(position),
+            advertise=self.internal(position),
+            clock_file=self.clock_file,
             control=self.control_instances(),
             lease_ms=self.lease_ms,
             drain_s=self.grace_s - DRAIN_RESERVE_S,
@@ -92,15 +109,17 @@
         """Return the settings of a control instance; instances are named by their address."""
         from onyxfork.settings import ControlSettings, TimingSettings
 
-        listen = self.internal(CONTROL_PORT)
+        own = self.internal(CONTROL_PORT)
         timing = TimingSettings(**attrs.asdict(CONTROL_TIMING))
-        members = {str(address): address for address in [*self.control_instances(), listen]}
+        members = {str(address): address for address in [*self.control_instances(), own]}
         return ControlSettings(
             role="control",
-            node=str(listen),
+            node=str(own),
             cluster=CLUSTER,
             zone=self.zone,
-            listen=listen,
+            listen=self.internal_listen(CONTROL_PORT),
+            advertise=own,
+            clock_file=self.clock_file,
             http=self.reports,
             data_folder=self.data_folder,
             members=members,
@@ -170,6 +189,11 @@
     path = path or os.environ.get(SETTINGS_VARIABLE, "/etc/onyxfork/boot.toml")
     try:
         data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-        return decode_settings(data)
+        settings = decode_settings(data)
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, FieldError) as error:
         raise SettingsError([f"{path}: {error}"]) from None
+    return attrs.evolve(
+        settings,
+        listen_host=os.environ.get(LISTEN_HOST_VARIABLE, ""),
+        clock_file=os.environ.get(CLOCK_FILE_VARIABLE, ""),
+    )
--- /dev/null
+++ b/onyxfork/platform/standin/calls.py
@@ -0,0 +1,114 @@
+"""Requests of the platform's callers and operators, and a process's settings file."""
+
+import json
+
+__all__ = [
+    "encode_job",
+    "encode_configuration",
+    "encode_settings",
+    "job_path",
+    "CONFIGURATION_PATH",
+    "READY_PATH",
+    "PATIENCE_HEADER",
+]
+
+CONFIGURATION_PATH = "/config"
+READY_PATH = "/ready"
+PATIENCE_HEADER = "X-Deadline"
+
+
+def job_path(queue, job):
+    """Return the path under which a job of a queue is handed in."""
+    return f"/{queue}/{job}"
+
+
+def encode_job(spec, tasks, cpu, memory_mb, estimate_ms):
+    """Return the body of a job of one step whose caller waits for its end."""
+    step = {"count": tasks, "cpu": cpu, "memMb": memory_mb, "estimatedMs": estimate_ms}
+    return json.dumps({"spec": spec, "bestEffort": True, "steps": [step]}).encode()
+
+
+def encode_configuration(version, service, queues, host, extra_queues=0):
+    """Return a configuration document.
+
+    Parameters
+    ----------
+    version : int
+    service : str
+    queues : dict of str to int
+        Priority by queue.
+    host : str
+    extra_queues : int
+        Queues that nobody uses, which make the document larger.
+    """
+    names = [(name, priority) for name, priority in queues.items()]
+    names += [(f"spare-{number}", 1) for number in range(extra_queues)]
+    routes = [
+        {
+            "name": name,
+            "host": host,
+            "pathPrefix": f"/{name}/",
+            "type": "unsafe",
+            "timeoutMs": 1500 + version,
+            "targetLatencyMs": 60,
+            "priority": priority,
+            "service": service,
+            "attempts": 3,
+            "stretch": 1.6,
+        }
+        for name, priority in names
+    ]
+    services = [{"name": service, "healthPath": "/health", "rejectsOverload": True}]
+    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144}
+    return json.dumps(
+        {"version": version, "routes": routes, "services": services, "limits": limits}
+    ).encode()
+
+
+def encode_settings(fields, listen, bounds, losses):
+    """Return the text of a process's settings file.
+
+    Parameters
+    ----------
+    fields : dict
+        Top-level fields; texts, numbers, booleans and lists of them.
+    listen : dict of str to str
+    bounds : dict of str to float
+    losses : int
+        Disks that may be lost at the same time.
+    """
+    lines = [f"{key} = {json.dumps(value)}" for key, value in fields.items()]
+    lines += ["[listen]"] + [f"{key} = {json.dumps(value)}" for key, value in listen.items()]
+    lines += ["[bounds]"] + [f"{key} = {json.dumps(value)}" for key, value in bounds.items()]
+    lines += ["[faultTolerance]", f"machines = {losses}"]
+    return "\n".join(lines) + "\n"
+
+
+def node_settings(node, zone, ip, ports, seeds, bootstrap):
+    """Return the fields that the settings of every process have."""
+    return {
+        "node": node,
+        "zone": zone,
+        "ip": ip,
+        "internalPorts": list(ports),
+        "seeds": list(seeds),
+        "bootstrap": bootstrap,
+    }
+
+
+def entry_settings(fields, callers, readiness, grace_s):
+    """Return the settings file of an entry."""
+    listen = {"front": str(callers), "ready": str(readiness)}
+    return encode_settings(fields, listen, {"graceS": grace_s}, 1)
+
+
+def agent_settings(fields, reports, worker, service, grace_s):
+    """Return the settings file of an agent."""
+    fields = {**fields, "app": str(worker), "service": service}
+    return encode_settings(fields, {"control": str(reports)}, {"graceS": grace_s}, 1)
+
+
+def control_settings(fields, operators, data_folder, grace_s, losses):
+    """Return the settings file of a control instance."""
+    fields = {**fields, "dataDir": str(data_folder)}
+    return encode_settings(fields, {"control": str(operators)}, {"graceS": grace_s}, losses)
--- a/onyxfork/workload/processes.py
+++ b/onyxfork/workload/processes.py
@@ -46,6 +46,8 @@
     arguments: list
     log_path: Path
     process: subprocess.Popen | None = None
+    module: str = "onyxfork"
+    environment: dict = field(factory=dict)
 
     @property
     def is_running(self):
@@ -58,11 +60,11 @@
             return
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "onyxfork", *self.arguments, *extra],
+                [sys.executable, "-m", self.module, *self.arguments, *extra],
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
-                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+                env={**os.environ, **self.environment, "PYTHONUNBUFFERED": "1"},
             )
 
     def signal(self, number):
@@ -363,7 +365,8 @@
     cluster.outside = {name: outside for name, (outside, _) in ports.items()}
     add_all(cluster, ports, options)
     connector = aiohttp.TCPConnector(limit=0)
-    async with run_proxy(ports) as proxy, aiohttp.ClientSession(connector=connector) as session:
+    places = {name: (here(outside), here(inside)) for name, (outside, inside) in ports.items()}
+    async with run_proxy(places) as proxy, aiohttp.ClientSession(connector=connector) as session:
         cluster.proxy, cluster.session = proxy, session
         place_all(cluster)
         try:
--- a/onyxfork/workload/proxy.py
+++ b/onyxfork/workload/proxy.py
@@ -12,7 +12,6 @@
 
 from onyxfork.errors import ProtocolError
 from onyxfork.messages import Hello, unpack
-from onyxfork.workload.deployment import LOOPBACK
 
 __all__ = ["FaultProxy", "Rule", "Place", "run_proxy"]
 
@@ -134,8 +133,9 @@
             server = self.places.get(name, Place(name))
             if self.is_cut(client, server):
                 return
+            target = self.targets[name]
             upstream_reader, upstream_writer = await asyncio.open_connection(
-                LOOPBACK, self.targets[name]
+                target.host, target.port
             )
             stream = Stream(client, server, (writer, upstream_writer))
             self.streams.add(stream)
@@ -200,12 +200,12 @@
 
 @asynccontextmanager
 async def run_proxy(ports):
-    """Listen on one port for each process.
+    """Listen at one address for each process.
 
     Parameters
     ----------
     ports : dict
-        Maps a process to (port here, port of the process).
+        Maps a process to (`Address` here, `Address` of the process).
 
     Yields
     ------
@@ -214,12 +214,12 @@
     proxy = FaultProxy()
     servers = []
     try:
-        for name, (port, target) in ports.items():
+        for name, (here, target) in ports.items():
             proxy.targets[name] = target
             handler = lambda reader, writer, name=name: proxy.accept(  # noqa: E731
                 name, reader, writer
             )
-            servers.append(await asyncio.start_server(handler, LOOPBACK, port))
+            servers.append(await asyncio.start_server(handler, here.host, here.port))
         yield proxy
     finally:
         for stream in list(proxy.streams):
