--- a/onyxfork/platform/standin/calls.py
+++ b/onyxfork/platform/standin/calls.py
@@ -3,13 +3,17 @@
 import json
 
 __all__ = [
-    "encode_job",
-    "encode_configuration",
-    "encode_settings",
-    "job_path",
     "CONFIGURATION_PATH",
-    "READY_PATH",
     "PATIENCE_HEADER",
+    "READY_PATH",
+    "agent_settings",
+    "control_settings",
+    "encode_configuration",
+    "encode_job",
+    "entry_settings",
+    "job_path",
+    "node_settings",
+    "spoil_configuration",
 ]
 
 CONFIGURATION_PATH = "/config"
@@ -65,6 +69,18 @@
     ).encode()
 
 
+def spoil_configuration(sound):
+    """Return documents that must be refused, made from a sound one.
+
+    They are cut short, name a service that there is none of, and hold a time limit of 0.
+    """
+    unknown = json.loads(sound)
+    unknown["routes"][0]["service"] = "nobody"
+    unlimited = json.loads(sound)
+    unlimited["routes"][0]["timeoutMs"] = 0
+    return [sound[:-20], json.dumps(unknown).encode(), json.dumps(unlimited).encode()]
+
+
 def encode_settings(fields, listen, bounds, losses):
     """Return the text of a process's settings file.
 
--- a/onyxfork/workload/soak/load.py
+++ b/onyxfork/workload/soak/load.py
@@ -15,6 +15,7 @@
     encode_configuration,
     encode_job,
     job_path,
+    spoil_configuration,
 )
 from onyxfork.workload.soak.checks import ConfigurationRecord, JobRecord
 
@@ -122,6 +123,7 @@
     records: object
     clock: object
     rng: Random
+    until: float = float("inf")
     rate: float = 1.0
     give_up_share: float = 0.0
     idle: list = field(factory=list)
@@ -129,10 +131,10 @@
     pending: set = field(factory=set)
     numbers: count = field(factory=count)
 
-    async def run(self, until):
-        """Hand in jobs until a time of the soak's clock, then wait for their ends."""
+    async def run(self):
+        """Hand in jobs until the time at which to end, then wait for their ends."""
         total = sum(kind.per_s for kind in KINDS)
-        while self.clock.now() < until:
+        while self.clock.now() < self.until:
             kind = self.rng.choices(KINDS, [kind.per_s for kind in KINDS])[0]
             task = asyncio.create_task(self.hand_in(kind))
             self.pending.add(task)
@@ -246,13 +248,7 @@
         version = next(self.versions)
         queues = {kind.queue: kind.priority for kind in KINDS}
         sound = encode_configuration(version, SERVICE, queues, HOST)
-        unknown = encode_configuration(version, "nobody", queues, HOST)
-        unknown = unknown.replace(b'"name": "nobody"', b'"name": "somebody"')
-        for body in (
-            sound[:-20],
-            unknown,
-            sound.replace(b'"timeoutMs": 1', b'"timeoutMs": 0, "x": 1'),
-        ):
+        for body in spoil_configuration(sound):
             await self.put(version, body, valid=False)
 
     async def put(self, version, body, valid):
--- a/onyxfork/workload/soak/run.py
+++ b/onyxfork/workload/soak/run.py
@@ -115,7 +115,7 @@
     with TemporaryDirectory() as temporary:
         place = Path(folder or temporary)
         os.makedirs(place, exist_ok=True)
-        records, unexpected = await play(seed, seconds, size, place, say, faults)
+        records, unexpected = await play(seed, size, place, say, faults)
     jobs = list(records.jobs.values())
     return SoakVerdict(
         seed,
@@ -129,7 +129,7 @@
     )
 
 
-async def play(seed, seconds, size, folder, say, faults):
+async def play(seed, size, folder, say, faults):
     """Run the processes, the load and the faults; return what was seen."""
     clock, rng, records = SoakClock(), Random(seed), SoakRecords()
     network = FIRST_NETWORK + os.getpid() % NETWORKS
@@ -149,13 +149,12 @@
         ]
         try:
             await wait_ready(callers, clock)
-            began = clock.now()
-            until = began + seconds + CALM_S + AFTER_CALM_S
-            load = asyncio.create_task(callers.run(until))
+            load = asyncio.create_task(callers.run())
             run = FaultRun(cluster, callers, operators, records, clock, timeline(say, clock))
             await run.run(faults)
             await asyncio.sleep(CALM_S)
             records.calm_from = clock.now()
+            callers.until = records.calm_from + AFTER_CALM_S
             await load
         finally:
             for task in background:
--- /dev/null
+++ b/tests/platform/standin/test_standin_worker.py
@@ -0,0 +1,68 @@
+"""The stand-in worker keeps the platform's rules of runs, leases and fences."""
+
+from random import Random
+
+import pytest
+
+from onyxfork.platform.standin.worker import HOLD_MAX_S, StandInWorker
+from onyxfork.utils import FakeClock
+
+TASK = "00000000000000a1.0.0.0"
+
+
+@pytest.fixture
+def clock():
+    return FakeClock(100.0)
+
+
+@pytest.fixture
+def worker(clock):
+    return StandInWorker(
+        "w", "s", 8000, 1024, lambda *_: 0.5, lambda spec: int(spec), clock, Random(1)
+    )
+
+
+def order(clock, run=1, token=1, task=TASK, spec="3000", lease_s=0.8):
+    until_ms = int((clock.now() + lease_s) * 1000)
+    return {"task": task, "run": run, "spec": spec, "untilMs": until_ms, "fencingToken": token}
+
+
+def test_run_ends_in_time_and_is_listed_until_it_is_seen(worker, clock):
+    assert worker.start(order(clock)) == (200, {})
+    assert worker.start(order(clock)) == (200, {})
+    clock.advance(0.6)
+    worker.advance()
+    assert [row[1:4] for row in worker.ends] == [[TASK, 1, "done"]]
+    assert [record.how for record in worker.journal] == ["done"]
+
+
+def test_lease_that_is_not_renewed_lapses_at_most_a_second_later(worker, clock):
+    worker.start(order(clock, lease_s=30.0))
+    worker.journal[0].ends_at += 60.0
+    clock.advance(HOLD_MAX_S + 0.01)
+    worker.advance()
+    assert worker.journal[0].how == "lapsed"
+
+
+@pytest.mark.parametrize(
+    ("change", "reason"),
+    [
+        ({"fencingToken": 0}, "fence"),
+        ({"run": 1}, "old"),
+        ({"untilMs": 0}, "late"),
+        ({"spec": "6000", "task": "00000000000000a2.0.0.0"}, "room"),
+    ],
+)
+def test_order_is_rejected_with_its_reason(worker, clock, change, reason):
+    worker.start(order(clock, run=1))
+    worker.stop({"task": TASK, "run": 1, "fencingToken": 1})
+    worker.start(order(clock, run=1, task="00000000000000a3.0.0.0"))
+    assert worker.start({**order(clock, run=2), **change}) == (409, {"reason": reason})
+
+
+def test_next_lifetime_knows_nothing_of_the_last(worker, clock):
+    worker.start(order(clock, token=9))
+    before = worker.id
+    worker.end_lifetime()
+    assert worker.id != before and worker.journal[0].how == "crashed"
+    assert worker.start(order(clock, token=1)) == (200, {})
