--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -4,6 +4,7 @@
 import logging
 from contextlib import asynccontextmanager
 
+from onyxfork.direct.answer_times import AnswerTimes
 from onyxfork.direct.arbiter import Arbiter
 from onyxfork.direct.lease import FencingToken, Lease, WorkerClock
 from onyxfork.direct.links import ControlLinks
@@ -61,6 +62,7 @@
         self.token = FencingToken(clock.wall_ms())
         self.worker_clock = WorkerClock()
         self.lease = Lease(settings.lease_ms)
+        self.answer_times = AnswerTimes()
         self.last_end = 0
         self.misses = 0
         self.settled = asyncio.Event()
--- a/onyxfork/direct/worker_client.py
+++ b/onyxfork/direct/worker_client.py
@@ -50,7 +50,7 @@
     """Calls to one worker. No call raises for what the network does."""
 
     @abstractmethod
-    async def start(self, worker, order, until_ms, token):
+    async def start(self, worker, order, until_ms, token, timeout_s):
         """Order a run; return a `Reply`.
 
         Parameters
@@ -62,11 +62,13 @@
             End of the lease by the worker's clock.
         token : int
             Fencing token.
+        timeout_s : float
+            How long to wait for the answer.
         """
 
     @abstractmethod
-    async def stop(self, worker, ref, token):
-        """Stop a run, or keep it from starting; return a `Reply`."""
+    async def stop(self, worker, ref, token, timeout_s):
+        """Stop a run, or keep it from starting; return a `Reply` within a timeout."""
 
     @abstractmethod
     async def hold(self, worker, until_ms, token, last_end, wait_ms, fresh):
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -157,8 +157,14 @@
             token = self.token.value
             until_ms = int(self.worker_clock.at(sent_at) + self.lease.length_ms)
             self.lease.renewed_at = max(self.lease.renewed_at, sent_at)
-            reply = await self.client.start(worker, run.order, until_ms, token)
-            self.worker_clock.note(reply.clock_ms, sent_at, self.clock.now())
+            limit_s = self.answer_times.limit_s
+            reply = await self.client.start(worker, run.order, until_ms, token, limit_s)
+            now = self.clock.now()
+            self.worker_clock.note(reply.clock_ms, sent_at, now)
+            if reply.answer == "unanswered":
+                self.answer_times.note_unanswered()
+            else:
+                self.answer_times.note(now - sent_at)
             if reply.answer != "fence":
                 return "started" if reply.answer == "ok" else reply.answer
             self.token.refused(token)
@@ -193,7 +199,7 @@
             if worker is None:
                 return
             token = self.token.value
-            reply = await self.client.stop(worker, ref, token)
+            reply = await self.client.stop(worker, ref, token, self.answer_times.limit_s)
             if reply.answer == "fence":
                 self.token.refused(token)
             elif reply.answer != "unanswered" and reply.answer != "unhealthy":
--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -288,10 +288,14 @@
     :param keep: folder for settings, logs and data, one folder a seed
     """
     import asyncio
+    import signal
 
     from onyxfork.workload.soak import run_soak
     from onyxfork.workload.soak.schedule import SoakSize
 
+    # A soak that is told to stop ends the processes that it has started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+
     size = SoakSize(controls, entries, agents)
     failed = 0
     for one in range(seed, seed + seeds):
--- a/onyxfork/platform/workers.py
+++ b/onyxfork/platform/workers.py
@@ -15,10 +15,6 @@
 
 log = logging.getLogger(__name__)
 
-CALL_TIMEOUT_S = 0.06
-"""A worker on the same machine answers within a few milliseconds, and its agent is busy for a few
-tens at most; an order without an answer is taken back, within the slack of a short job."""
-
 HOLD_SLACK_S = 0.2
 MOST_CONNECTIONS = 48
 """Below the 64 connections that a worker takes."""
@@ -81,7 +77,7 @@
         self.session = session
         self.fresh_session = fresh_session
 
-    async def start(self, worker, order, until_ms, token):
+    async def start(self, worker, order, until_ms, token, timeout_s):
         body = {
             "task": encode_task(order),
             "run": order.run,
@@ -89,11 +85,11 @@
             "untilMs": until_ms,
             "fencingToken": token,
         }
-        return await self.call(Reply, "/run-start", worker, body, CALL_TIMEOUT_S)
+        return await self.call(Reply, "/run-start", worker, body, timeout_s)
 
-    async def stop(self, worker, ref, token):
+    async def stop(self, worker, ref, token, timeout_s):
         body = {"task": encode_task(ref), "run": ref.run, "fencingToken": token}
-        return await self.call(Reply, "/run-stop", worker, body, CALL_TIMEOUT_S)
+        return await self.call(Reply, "/run-stop", worker, body, timeout_s)
 
     async def hold(self, worker, until_ms, token, last_end, wait_ms, fresh):
         # lastSeen: ends up to this number are forgotten by the worker.
--- a/onyxfork/workload/proxy.py
+++ b/onyxfork/workload/proxy.py
@@ -195,6 +195,8 @@
             wait_s = due - loop.time()
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
+            if writer.is_closing():
+                return
             writer.write(chunk)
 
 
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -32,14 +32,14 @@
         self.news = asyncio.Event()
         self.answers = True
 
-    async def start(self, worker, order, until_ms, token):
+    async def start(self, worker, order, until_ms, token, timeout_s):
         self.running[order.ref] = 0
         self.started.append(order.ref)
         if self.run_s is not None:
             asyncio.get_running_loop().call_later(self.run_s, self.end, order.ref, "done")
         return Reply("ok", 1000)
 
-    async def stop(self, worker, ref, token):
+    async def stop(self, worker, ref, token, timeout_s):
         self.stopped.append(ref)
         self.end(ref, "stopped")
         return Reply("ok", 1000)
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -168,9 +168,9 @@
     address = free_address()
     async with run_server(handle, address), open_worker_client(address) as client:
         worker = make_worker()
-        room = await client.start(worker, make_order(index=1, run=3), 500, 11)
-        fence = await client.start(worker, make_order(index=2), 500, 11)
-        stop = await client.stop(worker, TaskRef(ID, 0, 4, 2), 11)
+        room = await client.start(worker, make_order(index=1, run=3), 500, 11, 1.0)
+        fence = await client.start(worker, make_order(index=2), 500, 11, 1.0)
+        stop = await client.stop(worker, TaskRef(ID, 0, 4, 2), 11, 1.0)
         hold = await client.hold(worker, 600, 11, 57, 100, False)
     assert (room.answer, fence.answer, stop.answer) == ("room", "fence", "ok")
     assert calls[0] == (
@@ -195,7 +195,7 @@
 
     address = free_address()
     async with run_server(handle, address), open_worker_client(address) as client:
-        assert (await client.stop(make_worker(), make_order().ref, 1)).answer == "unanswered"
+        assert (await client.stop(make_worker(), make_order().ref, 1, 1.0)).answer == "unanswered"
 
 
 REPORT = {
