Late work counts at admission, and a job may be predicted to wait for 0.3 of its slack

Their first tasks ran at once and the last came hundreds of milliseconds later: more was taken than could start within its slack, because late tasks of begun jobs did not count and 0.6 of the slack could be used up by waiting.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -7,11 +7,22 @@
 
 from attrs import define
 
-__all__ = ["Refusal", "predicted_wait_s", "check_admission"]
-
-START_MARGIN = 0.6
-"""Share of a job's slack that its predicted wait may use; the rest is for work with less slack that
-comes after it and starts before it."""
+__all__ = [
+    "LEAST_RETRY_AFTER_MS",
+    "START_MARGIN",
+    "START_MARGIN_RECOVERING",
+    "Refusal",
+    "predicted_wait_s",
+    "check_admission",
+]
+
+START_MARGIN = 0.3
+"""Share of a job's slack that its predicted wait may use. The rest is for work with less slack that
+comes after it and starts before it, for estimates that are off, and for slower workers: of a job
+that waits longer, some tasks run in time and one is late, and all of its room is wasted."""
+
+START_MARGIN_RECOVERING = 0.6
+"""The same while workers come back after a start, when there is more room every moment."""
 
 LEAST_RETRY_AFTER_MS = 1000.0
 """A caller is not asked back sooner than this; `Retry-After` counts whole seconds."""
@@ -25,7 +36,7 @@
     retry_after_ms: float = LEAST_RETRY_AFTER_MS
 
 
-def predicted_wait_s(job, waiting, cores, now):
+def predicted_wait_s(job, waiting, cores):
     """Return how long until the last task of a job that could start now would start.
 
     Parameters
@@ -35,26 +46,30 @@
         Tasks of this entry that have no room yet.
     cores : float
         Thousandths of a core that this entry's tasks occupy or could occupy now.
-    now : float
-        Waiting tasks that are late already start after the job's.
 
     Returns
     -------
     float
         Seconds; 0 when nothing waits.
+
+    Notes
+    -----
+    Tasks that are late already count, although they start after this job's: they are what is left
+    of jobs that have begun, and as long as there are any the room is not enough for what was taken.
     """
     latest = min(job.latest_start(task) for task in job.tasks)
     work = 0.0
     for task in waiting:
-        if now <= task.job.latest_start(task) <= latest:
+        if task.job.latest_start(task) <= latest:
             work += task.spec.cpu * task.expected_ms
     if not work:
         return 0.0
     own = sum(task.spec.cpu * task.expected_ms for task in job.tasks)
-    return (work + own) / max(cores, 1.0) / 1000
+    before_last = own * (len(job.tasks) - 1) / len(job.tasks)
+    return (work + before_last) / max(cores, 1.0) / 1000
 
 
-def check_admission(job, waiting, cores, now):
+def check_admission(job, waiting, cores, now, margin=START_MARGIN):
     """Return why a job is refused, or None when it is taken.
 
     Parameters
@@ -63,6 +78,8 @@
     waiting : collection of Task
     cores : float
     now : float
+    margin : float
+        Share of the job's slack that its predicted wait may use.
 
     Returns
     -------
@@ -70,9 +87,9 @@
     """
     if not waiting:
         return None
-    wait_s = predicted_wait_s(job, waiting, cores, now)
+    wait_s = predicted_wait_s(job, waiting, cores)
     slack_s = min(job.latest_start(task) for task in job.tasks) - now
-    allowed_s = START_MARGIN * slack_s
+    allowed_s = margin * slack_s
     if wait_s <= allowed_s:
         return None
     excess_ms = (wait_s - allowed_s) * 1000
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -9,7 +9,13 @@
 from itertools import count
 from random import Random
 
-from onyxfork.direct.admission import LEAST_RETRY_AFTER_MS, Refusal, check_admission
+from onyxfork.direct.admission import (
+    LEAST_RETRY_AFTER_MS,
+    START_MARGIN,
+    START_MARGIN_RECOVERING,
+    Refusal,
+    check_admission,
+)
 from onyxfork.direct.dispatcher_news import HOPE_S, News
 from onyxfork.direct.estimates import EstimateTable
 from onyxfork.direct.jobs import PLACED, WAITING, make_job
@@ -63,7 +69,7 @@
 
     def __init__(self, now, rng=None):
         self.rng = rng or Random()
-        self.hopeful_until = now + HOPE_S
+        self.hopeful_until = self.recovered_at = now + HOPE_S
         self.known_agents = 0
         self.jobs = {}
         self.workers = {}
@@ -114,8 +120,12 @@
         for position, step in enumerate(job.request.steps):
             if not can_ever_run(step, job.request.queue.service, self.workers.values()):
                 return Refusal(f"step {position} fits no worker")
-        free = sum(max(0, view.cpu_free) for view in views)
-        return check_admission(job, self.waiting_tasks, self.cores_running + free, now)
+        cores = self.cores_running + sum(max(0, view.cpu_free) for view in views)
+        margin = START_MARGIN
+        if now < self.recovered_at:
+            cores *= max(1.0, self.known_agents / len(views))
+            margin = START_MARGIN_RECOVERING
+        return check_admission(job, self.waiting_tasks, cores, now, margin)
 
     def cancel(self, job, reason):
         """Stop a job whose caller has left; nobody is answered."""
--- a/tests/direct/test_load.py
+++ b/tests/direct/test_load.py
@@ -90,6 +90,23 @@
     assert not isinstance(dispatcher.submit(later, 0.52), Refusal)
 
 
+def test_restart_of_everything_workers_that_are_about_to_be_found_count():
+    """Pattern: a quarter of the workers is back and full, and every caller sends again."""
+    dispatcher = make_dispatcher(("s1",), cpu_free=4000)
+    dispatcher.known_agents = 4
+    dispatcher.submit(make_request("00000000000000b1", tasks=8, ms=200.0), 0.5)
+    assert not isinstance(
+        dispatcher.submit(make_request("00000000000000b2", tasks=4, ms=200.0), 0.5), Refusal
+    )
+    settled = make_dispatcher(("s1", "s2"), now=-10.0, cpu_free=4000)
+    settled.known_agents = 4
+    settled.on_disconnected("s2", 0.4)
+    settled.submit(make_request("00000000000000b1", tasks=8, ms=200.0), 0.5)
+    assert isinstance(
+        settled.submit(make_request("00000000000000b2", tasks=4, ms=200.0), 0.5), Refusal
+    )
+
+
 def test_restart_of_everything_late_jobs_wait_while_most_workers_are_out_of_reach():
     dispatcher = make_dispatcher(("s1",), cpu_free=0)
     dispatcher.known_agents = 4
@@ -118,3 +135,19 @@
     assert [run.order.index for run in start_all(arbiter, 0.0)] == [1]
     arbiter.take_ends([(orders[1].ref, "done")], 0.1)
     assert [run.order.index for run in start_all(arbiter, 0.1)] == [2]
+
+
+def test_long_burst_no_more_is_taken_while_begun_jobs_are_late():
+    """Pattern: a burst of several seconds slightly over capacity. What was taken too much shows as
+    late tasks of begun jobs; while they wait, a job with little slack is refused at once."""
+    dispatcher = make_dispatcher(cpu_free=2000, cpu=4000)
+    dispatcher.submit(make_request("00000000000000b1", tasks=6, ms=300.0), 0.0)
+    orders = take_orders(dispatcher)["s1"]
+    assert len(orders) == 2
+    dispatcher.on_events("s1", [event(order, "started") for order in orders], 0.01)
+    dispatcher.on_status("s1", make_status(cpu_free=0, seen=2), 0.45)
+    refused = dispatcher.submit(make_request("00000000000000b2", tasks=4, ms=100.0), 0.45)
+    assert isinstance(refused, Refusal)
+    assert refused.retry_after_ms >= 1000.0
+    taken = dispatcher.submit(make_request("00000000000000b3", tasks=1, ms=5000.0), 0.45)
+    assert not isinstance(taken, Refusal)
