--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -56,6 +56,7 @@
     -----
     Tasks that are late already count, although they start after this job's: they are what is left
     of jobs that have begun, and as long as there are any the room is not enough for what was taken.
+    A single task starts with the first room; of several, the last one waits for the others too.
     """
     latest = min(job.latest_start(task) for task in job.tasks)
     work = 0.0
@@ -64,9 +65,9 @@
             work += task.spec.cpu * task.expected_ms
     if not work:
         return 0.0
-    own = sum(task.spec.cpu * task.expected_ms for task in job.tasks)
-    before_last = own * (len(job.tasks) - 1) / len(job.tasks)
-    return (work + before_last) / max(cores, 1.0) / 1000
+    if len(job.tasks) > 1:
+        work += sum(task.spec.cpu * task.expected_ms for task in job.tasks)
+    return work / max(cores, 1.0) / 1000
 
 
 def check_admission(job, waiting, cores, now, margin=START_MARGIN):
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -121,10 +121,7 @@
             if not can_ever_run(step, job.request.queue.service, self.workers.values()):
                 return Refusal(f"step {position} fits no worker")
         cores = self.cores_running + sum(max(0, view.cpu_free) for view in views)
-        margin = START_MARGIN
-        if now < self.recovered_at:
-            cores *= max(1.0, self.known_agents / len(views))
-            margin = START_MARGIN_RECOVERING
+        margin = START_MARGIN if now >= self.recovered_at else START_MARGIN_RECOVERING
         return check_admission(job, self.waiting_tasks, cores, now, margin)
 
     def cancel(self, job, reason):
--- a/tests/direct/test_load.py
+++ b/tests/direct/test_load.py
@@ -90,21 +90,18 @@
     assert not isinstance(dispatcher.submit(later, 0.52), Refusal)
 
 
-def test_restart_of_everything_workers_that_are_about_to_be_found_count():
-    """Pattern: a quarter of the workers is back and full, and every caller sends again."""
-    dispatcher = make_dispatcher(("s1",), cpu_free=4000)
-    dispatcher.known_agents = 4
-    dispatcher.submit(make_request("00000000000000b1", tasks=8, ms=200.0), 0.5)
-    assert not isinstance(
-        dispatcher.submit(make_request("00000000000000b2", tasks=4, ms=200.0), 0.5), Refusal
-    )
+def test_restart_of_everything_a_job_may_wait_longer_until_its_workers_are_back():
+    """Pattern: half of the workers is back and full, and every caller sends again. The same load
+    on a settled entry that has lost a worker is refused: there is no more room to come."""
+    started = make_dispatcher(("s1", "s2"), cpu_free=4000)
     settled = make_dispatcher(("s1", "s2"), now=-10.0, cpu_free=4000)
-    settled.known_agents = 4
     settled.on_disconnected("s2", 0.4)
-    settled.submit(make_request("00000000000000b1", tasks=8, ms=200.0), 0.5)
-    assert isinstance(
-        settled.submit(make_request("00000000000000b2", tasks=4, ms=200.0), 0.5), Refusal
-    )
+    started.on_disconnected("s2", 0.4)
+    for dispatcher in (started, settled):
+        dispatcher.submit(make_request("00000000000000b1", tasks=6, ms=200.0), 0.5)
+    last = make_request("00000000000000b2", tasks=1, ms=300.0)
+    assert isinstance(settled.submit(last, 0.5), Refusal)
+    assert not isinstance(started.submit(last, 0.5), Refusal)
 
 
 def test_restart_of_everything_late_jobs_wait_while_most_workers_are_out_of_reach():
