An agent hands back orders that are stale, and starts none for an entry that may have given it up

Ruled out: the callers' resending (one copy of the job), the worker's lease (a start renews it).

An order now says which value of the agent's clock the entry had heard last; the agent hands back what is older than 0.45 s, or from before a suspension of the machine, and starts no waiting run of an entry that it has not heard of for as long. LOST_AFTER_S grows from 1.1 to 1.45 s accordingly.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/ready
 
-.PHONY: demo test check scenarios reference format clean
+.PHONY: demo test check scenarios soak reference format clean
 
 demo: $(READY)
 	$(BIN)/onyxfork demo
@@ -18,6 +18,10 @@
 scenarios: $(READY)
 	ONYXFORK_SCENARIOS=all $(BIN)/pytest tests/scenarios
 
+soak: $(READY)
+	ONYXFORK_SOAK=all $(BIN)/pytest tests/workload/soak
+	$(BIN)/onyxfork soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),3)
+
 reference: $(READY)
 	$(BIN)/python docs/make_reference.py
 
--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -36,6 +36,9 @@
 TIGHT_SHARE = 0.5
 """Room is short below this share of the worker's processors."""
 
+SUSPENSION_S = 0.1
+"""A shorter suspension delays orders no more than the network may."""
+
 DIAL_BACK_S = 0.3
 DIAL_BACK_FOR_S = 120.0
 """An entry that has gone may have restarted while control is away; it is told where this agent is
@@ -71,6 +74,7 @@
         self.stopping = False
         self.flush_due = False
         self.spawn = None
+        self.suspended_s = clock.suspended_s()
 
     def hello(self):
         """Return what this process says of itself."""
@@ -79,6 +83,9 @@
     def after_change(self):
         """Carry out what the arbiter asks for and let entries know."""
         arbiter = self.arbiter
+        for session in arbiter.sessions.values():
+            if session.connection is not None:
+                session.note_heard(session.connection.lead_echo)
         arbiter.schedule(self.clock.now())
         starts, arbiter.starts = arbiter.starts, []
         stops, arbiter.stops = arbiter.stops, []
@@ -122,9 +129,10 @@
         """Send every entry the state and room of the worker."""
         self.flush_due = False
         self.arbiter.changed = False
+        now = self.clock.now()
         for session in self.arbiter.sessions.values():
             if session.connection is not None:
-                session.connection.send(self.arbiter.status(session))
+                session.connection.send(self.arbiter.status(session, now))
 
     # Entries
 
@@ -143,9 +151,10 @@
 
     def on_message(self, session, message):
         """Take one message of an entry."""
+        self.look_for_suspension()
         now = self.clock.now()
         if isinstance(message, Place):
-            self.arbiter.place(session, message.orders, now)
+            self.arbiter.place(session, message.orders, now, message.heard)
         elif isinstance(message, Withdraw):
             self.arbiter.withdraw(session, message.refs, now)
         elif isinstance(message, Recall):
@@ -160,9 +169,19 @@
         """Let the arbiter see time pass."""
         while True:
             await asyncio.sleep(TICK_S)
+            self.look_for_suspension()
             self.arbiter.tick(self.clock.now())
             self.after_change()
 
+    def look_for_suspension(self):
+        """Notice that the machine was suspended, which the monotonic clock does not show."""
+        suspended_s = self.clock.suspended_s()
+        if suspended_s - self.suspended_s > SUSPENSION_S:
+            gap_s = round(suspended_s - self.suspended_s, 2)
+            log.warning("machine was suspended", extra={"seconds": gap_s})
+            self.arbiter.note_suspension(self.clock.now())
+        self.suspended_s = suspended_s
+
     async def dial_back(self):
         """Tell entries that have gone where this agent is, in case control can not."""
         gone = {}
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -78,6 +78,7 @@
         self.failing = 0.0
         self.slowness = None
         self.ticked_at = None
+        self.awake_since = float("-inf")
         self.unhealthy_until = 0.0
         self.changed = False
 
@@ -152,7 +153,11 @@
     # Starts and stops
 
     def schedule(self, now):
-        """Start queued runs, those with the least slack first, while they fit."""
+        """Start queued runs, those with the least slack first, while they fit.
+
+        Runs of an entry that may have given this agent up wait until it is heard of again.
+        """
+        passed_over = []
         while self.queue and self.state == READY and now >= self.unhealthy_until:
             key, _, run = self.queue[0]
             if run.state != QUEUED or self.runs.get(run.key) is not run:
@@ -161,14 +166,23 @@
             if key < now:
                 heapq.heapreplace(self.queue, (key + OVERDUE_S, next(self.sequence), run))
                 continue
+            if run.session.is_stale(now):
+                passed_over.append(heapq.heappop(self.queue))
+                continue
             if not self.fits(run.order):
-                return
+                break
             heapq.heappop(self.queue)
-            self.count_queued(run, -1)
-            self.count_used(run, 1)
-            run.state, run.ordered_at = STARTING, now
-            self.starts.append(run)
-            self.changed = True
+            self.begin(run, now)
+        for item in passed_over:
+            heapq.heappush(self.queue, item)
+
+    def begin(self, run, now):
+        """Take a queued run's room and ask for its start."""
+        self.count_queued(run, -1)
+        self.count_used(run, 1)
+        run.state, run.ordered_at = STARTING, now
+        self.starts.append(run)
+        self.changed = True
 
     def fits(self, order):
         """Return whether a task has room now."""
@@ -369,7 +383,7 @@
             return True
         return self.worker.cpu - self.cpu_used - self.cpu_queued < share * self.worker.cpu
 
-    def status(self, session):
+    def status(self, session, now):
         """Return the report for one entry."""
         worker = self.worker
         cpu, memory, gpu = (worker.cpu, worker.memory_mb, worker.gpu) if worker else (0, 0, 0)
@@ -387,4 +401,5 @@
             self.pace,
             self.failing,
             worker.labels if worker else [],
+            now,
         )
--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -7,7 +7,7 @@
 import logging
 
 from onyxfork.direct.messages import TaskEvent
-from onyxfork.direct.runs import QUEUED, READY, RUNNING, Run, Session
+from onyxfork.direct.runs import QUEUED, READY, RUNNING, STALE_AFTER_S, Run, Session
 
 __all__ = ["Entries"]
 
@@ -63,12 +63,28 @@
         for run in mine:
             self.stop(run, reason, session.gone_at)
 
-    def place(self, session, orders, now):
-        """Take orders of an entry."""
+    def place(self, session, orders, now, heard=None):
+        """Take orders of an entry.
+
+        Parameters
+        ----------
+        session : Session
+        orders : list of TaskOrder
+        now : float
+        heard : float, optional
+            The latest value of this agent's clock that the entry had heard when it sent them; None
+            for orders that have not travelled.
+        """
         session.orders_seen += len(orders)
         self.changed = True
+        stale = heard is not None and (heard < self.awake_since or now - heard > STALE_AFTER_S)
+        if stale:
+            fields = {"entry": session.entry, "orders": len(orders), "age_s": round(now - heard, 2)}
+            log.warning("stale orders handed back", extra=fields)
+        elif heard is not None:
+            session.note_heard(heard)
         for order in orders:
-            refusal = self.find_refusal(session, order)
+            refusal = "stale" if stale else self.find_refusal(session, order)
             if refusal == "":
                 continue
             if refusal is not None:
@@ -79,6 +95,13 @@
             self.count_queued(run, 1)
             heapq.heappush(self.queue, (run.latest_start, next(self.sequence), run))
 
+    def note_suspension(self, now):
+        """Note that the machine has just been suspended: what was heard before says nothing."""
+        self.awake_since = now
+        for session in self.sessions.values():
+            if session.heard is not None:
+                session.heard = float("-inf")
+
     def find_refusal(self, session, order):
         """Return why an order is handed back; empty when it is known already, None to take it."""
         known = self.runs.get(order.ref.key)
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -18,9 +18,10 @@
 """After a start, or after an agent was lost, a job may wait this long for a worker in reach; agents
 are back and have heard from their workers by then."""
 
-LOST_AFTER_S = 1.1
-"""After this long without its agent, nothing of a run is left: the agent stops it within its
-silence limit, and the worker's lease, at most 1 s on a clock 2 % slow, has ended."""
+LOST_AFTER_S = 1.45
+"""After this long without its agent, nothing of a run is left. An agent takes orders that are up to
+0.45 s old, gives a silent connection up after 0.7 s, waits 0.25 s for its entry and stops the run
+within 0.05 s. If the agent is dead, the worker's lease, 1 s on a clock 2 % slow, has ended."""
 
 AVOID_S = 2.0
 """How long new work goes elsewhere after a run went wrong on a worker."""
@@ -128,7 +129,7 @@
                 self.end(task.job, JobOutcome(UNKNOWN, "another entry holds a copy of the job"))
             self.forget_if_over(task.job)
             return
-        if event.reason in ("unhealthy", "unanswered"):
+        if event.reason in ("unhealthy", "unanswered", "stale"):
             view.avoid_until = now + AVOID_S
         self.run_again(task, view, event.kind, event.reason)
 
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -228,12 +228,18 @@
         if dispatcher.orders:
             orders, dispatcher.orders = dispatcher.orders, {}
             for name, items in orders.items():
-                self.send(name, Place(items))
+                self.place(name, items)
         if dispatcher.answered:
             answered, dispatcher.answered = dispatcher.answered, []
             for job in answered:
                 self.answer(job)
 
+    def place(self, name, orders):
+        """Send an agent orders, with the latest value of its clock."""
+        connection = self.connections.get(name)
+        if connection is not None:
+            connection.send(Place(orders, connection.echo))
+
     def send(self, name, message):
         """Send an agent a message; without a connection the agent learns it when it is back."""
         connection = self.connections.get(name)
--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -99,9 +99,17 @@
 @message(130)
 @define
 class Place:
-    """Tasks for a worker."""
+    """Tasks for a worker.
+
+    Parameters
+    ----------
+    heard : float
+        The latest value of the agent's clock that the entry has heard on this connection. The agent
+        knows from it how old the orders are at most, and hands back those that are stale.
+    """
 
     orders: list[TaskOrder]
+    heard: float
 
 
 @message(131)
@@ -163,6 +171,8 @@
     failing : float
         Share of recent runs that failed, 0 to 1.
     labels : list of str
+    clock : float
+        The agent's clock when it reported; `Place` returns it.
     """
 
     worker: str
@@ -178,6 +188,7 @@
     pace: float
     failing: float
     labels: list[str] = field(factory=list)
+    clock: float = 0.0
 
 
 @message(140)
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -4,7 +4,7 @@
 
 from onyxfork.direct.messages import TaskEvent
 
-__all__ = ["Run", "Worker", "Session"]
+__all__ = ["Run", "Worker", "Session", "STALE_AFTER_S"]
 
 READY = "ready"
 QUEUED = "queued"
@@ -12,6 +12,11 @@
 RUNNING = "running"
 STOPPING = "stopping"
 
+STALE_AFTER_S = 0.45
+"""Orders that are older than this may be of a connection that their entry has given up: after a
+pause of this process or a stall of the network they are read before its end is. Their tasks may run
+elsewhere by then; see `LOST_AFTER_S`."""
+
 
 @define(eq=False, slots=True)
 class Run:
@@ -121,6 +126,8 @@
         Orders on the present connection.
     ended : dict
         Events of runs that have ended, by reference, for an entry that comes back.
+    heard : float or None
+        The latest value of this agent's clock that the entry is known to have heard.
     """
 
     entry: str
@@ -130,3 +137,15 @@
     orders_seen: int = 0
     ended: dict = field(factory=dict)
     events: list = field(factory=list)
+    heard: float | None = None
+
+    def note_heard(self, heard):
+        """Note a value of this agent's clock that the entry has heard."""
+        if self.heard is None or heard > self.heard:
+            self.heard = heard
+
+    def is_stale(self, now):
+        """Return whether the entry may have given this agent up."""
+        if self.heard is None:
+            return False
+        return self.connection is None or now - self.heard > STALE_AFTER_S
--- a/onyxfork/utils/clock.py
+++ b/onyxfork/utils/clock.py
@@ -22,6 +22,10 @@
     def wall_ms(self):
         """Return milliseconds since the Unix epoch (int)."""
 
+    def suspended_s(self):
+        """Return for how long the machine has been suspended, which `now` does not count."""
+        return 0.0
+
 
 class SystemClock(Clock):
     """The clocks of the operating system."""
@@ -32,6 +36,9 @@
     def wall_ms(self):
         return int(time.time() * 1000)
 
+    def suspended_s(self):
+        return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+
 
 class SteppedClock(SystemClock):
     """The system's clocks, with a wall clock that experiments can step.
@@ -79,6 +86,7 @@
     def __init__(self, start=0.0, wall_start_ms=1_700_000_000_000):
         self.time = start
         self.wall_offset_ms = wall_start_ms - int(start * 1000)
+        self.suspended = 0.0
 
     def now(self):
         return self.time
@@ -86,6 +94,9 @@
     def wall_ms(self):
         return self.wall_offset_ms + int(self.time * 1000)
 
+    def suspended_s(self):
+        return self.suspended
+
     def advance(self, seconds):
         """Move the clock forward by `seconds`."""
         self.time += seconds
--- a/tests/direct/test_arbiter.py
+++ b/tests/direct/test_arbiter.py
@@ -33,7 +33,7 @@
     arbiter, session = make_arbiter(cpu=2000)
     arbiter.place(session, [make_order(index=at) for at in range(3)], 0.0)
     assert len(start_all(arbiter, 0.0)) == 2
-    assert arbiter.status(session).cpu_free == -1000
+    assert arbiter.status(session, 0.0).cpu_free == -1000
     arbiter.take_ends([(make_order(index=0).ref, "done")], 0.1)
     assert [run.order.index for run in start_all(arbiter, 0.1)] == [2]
 
@@ -163,3 +163,48 @@
     start_all(arbiter, 0.0, "room")
     assert kinds(session) == [(0, "returned")]
     assert arbiter.cpu_used == 0
+
+
+def test_order_that_is_read_after_a_pause_of_the_agent_is_handed_back():
+    """Found by the soak, seed 16 of 20 s: the agent was paused for 2.9 s, its entry gave it up and
+    ran the task elsewhere, and the agent then read the order and started the task again."""
+    arbiter, session = make_arbiter(cpu=2000)
+    arbiter.place(session, [make_order(index=0)], 10.0, heard=9.9)
+    arbiter.place(session, [make_order(index=1)], 12.9, heard=9.9)
+    assert [run.order.index for run in start_all(arbiter, 10.0)] == [0]
+    assert [(e.index, e.kind, e.reason) for e in session.events if e.kind == "returned"] == [
+        (1, "returned", "stale")
+    ]
+
+
+def test_run_that_waits_is_not_started_after_a_pause_until_its_entry_is_heard_of():
+    arbiter, session = make_arbiter(cpu=1000)
+    orders = [make_order(index=0, slack_ms=9000.0), make_order(index=1, slack_ms=9900.0)]
+    arbiter.place(session, orders, 10.0, heard=9.9)
+    start_all(arbiter, 10.0)
+    arbiter.take_ends([(orders[0].ref, "done")], 12.9)
+    assert start_all(arbiter, 12.9) == []
+    session.note_heard(12.8)
+    assert [run.order.index for run in start_all(arbiter, 12.95)] == [1]
+
+
+def test_run_of_an_entry_whose_connection_has_ended_waits_for_the_next():
+    arbiter, session = make_arbiter(cpu=1000)
+    connection = session.connection
+    arbiter.place(session, [make_order(index=0, slack_ms=9000.0)], 10.0, heard=9.9)
+    arbiter.disconnect(session, connection, 10.05)
+    assert start_all(arbiter, 10.1) == []
+    session.connection = connection
+    assert len(start_all(arbiter, 10.1)) == 1
+
+
+def test_order_that_was_sent_before_a_suspension_is_handed_back():
+    """The monotonic clock stands still while a machine is suspended, so the order looks new."""
+    arbiter, session = make_arbiter(cpu=2000)
+    arbiter.place(session, [make_order(index=0, slack_ms=9000.0)], 10.0, heard=9.9)
+    arbiter.note_suspension(10.05)
+    arbiter.place(session, [make_order(index=1)], 10.06, heard=10.0)
+    assert start_all(arbiter, 10.06) == []
+    assert [(e.index, e.reason) for e in session.events] == [(1, "stale")]
+    arbiter.place(session, [make_order(index=2)], 10.2, heard=10.1)
+    assert len(start_all(arbiter, 10.2)) == 2
