--- a/onyxfork/platform/standin/worker.py
+++ b/onyxfork/platform/standin/worker.py
@@ -20,13 +20,20 @@
 log = logging.getLogger(__name__)
 
 HOLD_MAX_S = 1.0
+"""Longest lease, as `holdMaxMs` of the users' deployments."""
+
 REPORT_EVERY_S = 0.5
+"""A third of the users' `heartbeatMs`, so that a short soak sees as many workers come back."""
+
 REPORT_TIMEOUT_S = 1.0
+"""The platform's workers wait a second for an acknowledgement."""
+
 GONE_S = 0.3
 """From the end of one lifetime to the first report of the next."""
 
 LATE_MIN_S, LATE_MAX_S = 0.5, 3.0
-"""How much later an order that is left unanswered is carried out."""
+"""How much later an order that is left unanswered is carried out: 2 to 12 s on the platform, less
+here, so that it comes while its job is still on."""
 
 
 @define(slots=True)
--- a/onyxfork/workload/soak/checks.py
+++ b/onyxfork/workload/soak/checks.py
@@ -20,8 +20,8 @@
 """Of the requests in the calm at the end that are served, by the platform's rules."""
 
 PLANNED_MARGIN_S = 3.0
-"""A request counts as hit by planned work alone if nothing unplanned happened from this long
-before it until its end."""
+"""A request counts as hit by planned work alone if no unplanned fault lasted until less than this
+long before it or began before its end; the platform gives processes 3 s to be in touch again."""
 
 
 @define
@@ -197,15 +197,19 @@
 def find_requests_cut_by_planned_stops(records):
     """A request that is cut although nothing but planned stops happened around it."""
     for job in records.jobs.values():
-        for entry, sent_at, at in job.broken_at:
-            if any(
-                start - PLANNED_MARGIN_S < at and sent_at - PLANNED_MARGIN_S < end
-                for start, end in records.unplanned
-            ):
+        for entry, sent_at, cut_at in job.broken_at:
+            if is_near_unplanned(records, sent_at, cut_at):
                 continue
             for name, told_at, ended_at in records.terms:
-                if name == entry and told_at <= at <= ended_at and sent_at <= told_at:
-                    yield f"planned stop of {entry} cut {job.id} at {at:.2f} s"
+                if name == entry and sent_at <= told_at <= cut_at <= ended_at:
+                    yield f"planned stop of {entry} cut {job.id} at {cut_at:.2f} s"
+
+
+def is_near_unplanned(records, start, end):
+    """Return whether an unplanned fault happened during a request or shortly before it."""
+    return any(
+        began < end and start - PLANNED_MARGIN_S < healed for began, healed in records.unplanned
+    )
 
 
 def find_missing_recovery(records):
--- a/onyxfork/workload/soak/load.py
+++ b/onyxfork/workload/soak/load.py
@@ -27,18 +27,28 @@
 RESEND_S = 1.3
 """A caller whose connection broke sends its job again after this long."""
 
-CONNECT_S = 1.0
+END_SLACK_S = 1.0
+"""After the patience of the last callers, for their answers to be noted."""
+
 CHECK_EVERY_S = 1.0
 MISSES_OUT = 2
-"""Checks that an entry may miss until it gets no new connections."""
+"""The platform's balancer checks each second; after two misses an entry gets no new connections."""
 
 GIVE_UP_S = 0.1
+"""Callers that leave do so within the slack of a short job."""
+
 OPERATOR_TIMEOUT_S = 1.0
+"""The platform's operators turn to another instance after a second."""
+
 OPERATOR_TRIES = 8
 READ_EVERY_S = 0.5
 CHANGE_EVERY_S = 1.5
+"""On average; a soak sees a few dozen configurations."""
+
 STORM_CHANGES = 8
+STORM_PAUSE_S = 0.1
 STORM_EXTRA_QUEUES = 200
+"""Together: several changes a second, each of tens of kilobytes."""
 
 
 @define(frozen=True)
@@ -141,7 +151,7 @@
             task.add_done_callback(self.pending.discard)
             await asyncio.sleep(self.rng.expovariate(total * self.rate))
         if self.pending:
-            await asyncio.wait(self.pending, timeout=PATIENCE_S + CONNECT_S)
+            await asyncio.wait(self.pending, timeout=PATIENCE_S + END_SLACK_S)
         for session in self.sessions:
             await session.close()
 
@@ -237,7 +247,7 @@
         """Send many large configurations in quick succession."""
         for _ in range(STORM_CHANGES):
             await self.change(STORM_EXTRA_QUEUES)
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(STORM_PAUSE_S)
 
     async def race(self):
         """Send two configurations at the same time, to different instances."""
