An agent ignores what it still reads of an entry's older connection

Found by reading the change for stale orders: after a reset the entry comes back within 50 ms and is told that an order never arrived; the agent could then read that order from the older connection, younger than 0.45 s, and start it beside its successor. Test failed first.

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -144,13 +144,22 @@
         session = self.arbiter.connect(peer.node, peer.incarnation, connection)
         log.info("entry connected", extra={"entry": peer.node, "incarnation": peer.incarnation})
         try:
-            reason = await connection.run(lambda _, item: self.on_message(session, item))
+            reason = await connection.run(
+                lambda connection, item: self.on_message(session, connection, item)
+            )
             log.info("entry disconnected", extra={"entry": peer.node, "reason": reason})
         finally:
             self.arbiter.disconnect(session, connection, self.clock.now())
 
-    def on_message(self, session, message):
-        """Take one message of an entry."""
+    def on_message(self, session, connection, message):
+        """Take one message of an entry.
+
+        The first message of a newer connection has settled what the entry wants; what is left to
+        read of an older one may hold orders that the entry has given up since.
+        """
+        if session.connection is not connection:
+            log.info("message of an older connection ignored", extra={"entry": session.entry})
+            return
         self.look_for_suspension()
         now = self.clock.now()
         if isinstance(message, Place):
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -6,11 +6,15 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parent))
-from builders import make_request, make_worker  # noqa: E402
+from builders import make_order, make_request, make_worker  # noqa: E402
 
 from onyxfork.direct.agent import DirectAgent, run_agent  # noqa: E402
 from onyxfork.direct.entry import DirectEntry, run_entry  # noqa: E402
-from onyxfork.direct.messages import ConfigurationDocument, DirectoryNode  # noqa: E402
+from onyxfork.direct.messages import (  # noqa: E402
+    ConfigurationDocument,
+    DirectoryNode,
+    Place,
+)
 from onyxfork.direct.settings import DirectSettings  # noqa: E402
 from onyxfork.direct.telemetry import Telemetry  # noqa: E402
 from onyxfork.direct.worker_client import HoldReply, Reply, WorkerClient  # noqa: E402
@@ -216,3 +220,19 @@
         assert outcome.state == "completed"
         assert len(worker.started) == 2
         assert min(ref.run for ref in worker.started) > 1
+
+
+async def test_order_on_an_older_connection_is_ignored():
+    """The entry has come back on a new connection and was told that the order never arrived; only
+    then is the order read from the connection that was reset."""
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, agent):
+        session = agent.arbiter.sessions["e1"]
+        older = session.connection
+        entry.connections["s1"].writer.transport.abort()
+        await until(lambda: session.connection not in (older, None))
+        late = Place([make_order()], agent.clock.now())
+        agent.on_message(session, older, late)
+        assert not agent.arbiter.runs and worker.started == []
+        agent.on_message(session, session.connection, late)
+        await until(lambda: len(worker.started) == 1)
