--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -15,9 +15,28 @@
 MEAN_GAP_S = 1.2
 """Between the beginnings of two faults, on average; each lasts longer, so that they overlap."""
 
+LEAST_S, MOST_S = 0.5, 4.0
+"""How long a fault lasts; connections are given up after 0.7 s, leases lapse after 1 s."""
+
 SERIES_SHARE = 0.3
 """Share of faults that come again and again."""
 
+MOST_REPEATS = 3
+REPEAT_LEAST_S, REPEAT_MOST_S = 0.2, 2.0
+"""Between the beginnings within a series: within the last one, or just after it."""
+
+KILL_ALL_SHARE = 0.25
+"""Share of schedules that end with the kill of every process."""
+
+ALL_SHARE = 0.3
+"""Share of faulty links that are those of one process with all others."""
+
+LEAST_STEP_MS, MOST_STEP_MS = 500, 8000
+"""By which the time of day is stepped, forward or back."""
+
+LEAST_DELAY_S, MOST_DELAY_S = 0.02, 0.8
+"""Of a slow link: from ten times the usual to longer than silence is borne."""
+
 DISK_QUIET_S = 7.0
 """Around the loss of a disk no other control instance is lost: one is what may be lost at once,
 and it stays lost for 4 s after it is back."""
@@ -32,6 +51,7 @@
     kind for kind in (*CONTROL_KINDS, *LINK_KINDS, *WORKER_KINDS, "kill_all") if kind not in PLANNED
 )
 
+# How often each area is struck, relative to the others: connections and workers fail most.
 WEIGHTS = (
     ("control", CONTROL_KINDS, 3.0),
     ("entry", NODE_KINDS, 3.0),
@@ -104,13 +124,13 @@
         area = self.rng.choices(WEIGHTS, [weight for _, _, weight in WEIGHTS])[0]
         role, kinds, _ = area
         kind = self.rng.choice(kinds)
-        fault = Fault(at_s, kind, for_s=self.rng.uniform(0.5, 4.0))
+        fault = Fault(at_s, kind, for_s=self.rng.uniform(LEAST_S, MOST_S))
         if role in ("control", "entry", "agent"):
             fault.target = self.rng.choice(self.size.names(role))
-            fault.amount = self.rng.choice((-1, 1)) * self.rng.uniform(500, 8000)
+            fault.amount = self.rng.choice((-1, 1)) * self.rng.uniform(LEAST_STEP_MS, MOST_STEP_MS)
         elif role == "link":
             fault.target, fault.other = self.link()
-            fault.amount = self.rng.uniform(0.02, 0.8)
+            fault.amount = self.rng.uniform(LEAST_DELAY_S, MOST_DELAY_S)
         elif role == "worker":
             fault.target = self.rng.choice(self.size.names("agent"))
             fault.amount = self.rng.uniform(2.0, 8.0)
@@ -122,7 +142,7 @@
         """Draw the two ends of a faulty link."""
         nodes = [name for role in SoakSize.plurals for name in self.size.names(role)]
         source = self.rng.choice(nodes)
-        if self.rng.random() < 0.3:
+        if self.rng.random() < ALL_SHARE:
             return (source, "all") if self.rng.random() < 0.5 else ("all", source)
         return source, self.rng.choice([name for name in nodes if name != source])
 
@@ -170,7 +190,7 @@
                 add_series(draw, fault)
         at_s += draw.rng.expovariate(1 / MEAN_GAP_S)
     last = Fault(seconds, "kill_all", amount=0.0, for_s=1.0)
-    if draw.rng.random() < 0.25 and draw.is_allowed(last):
+    if draw.rng.random() < KILL_ALL_SHARE and draw.is_allowed(last):
         draw.faults.append(last)
     return sorted(draw.faults, key=lambda fault: fault.at_s)
 
@@ -178,8 +198,8 @@
 def add_series(draw, first):
     """Let a fault come again, on the same or another target."""
     at_s = first.at_s
-    for _ in range(draw.rng.randint(1, 3)):
-        at_s += draw.rng.uniform(0.2, 2.0)
+    for _ in range(draw.rng.randint(1, MOST_REPEATS)):
+        at_s += draw.rng.uniform(REPEAT_LEAST_S, REPEAT_MOST_S)
         again = Fault(at_s, first.kind, first.target, first.other, first.for_s, first.amount)
         if draw.is_allowed(again):
             draw.faults.append(again)
