What was heard before a suspension no longer counts as heard since

Cause, found by reading the change once more: after a suspension every session's heard value was cleared, and the agent's next turn restored it from the connection's latest echo, which is from before the suspension and looks new because the monotonic clock stood still. A waiting run of an entry that had given the agent up could start. The unit test drove the arbiter alone and missed it.

Change: the moment of waking is kept and each value compared with it, by one function for orders that arrive and for runs that wait. The new test goes through the agent and failed first (the run started).

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -167,7 +167,7 @@
             if key < now:
                 heapq.heapreplace(self.queue, (key + OVERDUE_S, next(self.sequence), run))
                 continue
-            if run.session.is_stale(now):
+            if self.may_be_given_up(run.session, now):
                 passed_over.append(heapq.heappop(self.queue))
                 continue
             if not self.fits(run.order):
--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -77,7 +77,7 @@
         """
         session.orders_seen += len(orders)
         self.changed = True
-        stale = heard is not None and (heard < self.awake_since or now - heard > STALE_AFTER_S)
+        stale = heard is not None and self.is_stale(heard, now)
         if stale:
             fields = {"entry": session.entry, "orders": len(orders), "age_s": round(now - heard, 2)}
             log.warning("stale orders handed back", extra=fields)
@@ -98,9 +98,16 @@
     def note_suspension(self, now):
         """Note that the machine has just been suspended: what was heard before says nothing."""
         self.awake_since = now
-        for session in self.sessions.values():
-            if session.heard is not None:
-                session.heard = float("-inf")
+
+    def is_stale(self, heard, now):
+        """Return whether an entry that last heard this value may have given this agent up."""
+        return heard < self.awake_since or now - heard > STALE_AFTER_S
+
+    def may_be_given_up(self, session, now):
+        """Return whether an entry may run elsewhere what waits here."""
+        if session.heard is None:
+            return False
+        return session.connection is None or self.is_stale(session.heard, now)
 
     def find_refusal(self, session, order):
         """Return why an order is handed back; empty when it is known already, None to take it."""
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -143,9 +143,3 @@
         """Note a value of this agent's clock that the entry has heard."""
         if self.heard is None or heard > self.heard:
             self.heard = heard
-
-    def is_stale(self, now):
-        """Return whether the entry may have given this agent up."""
-        if self.heard is None:
-            return False
-        return self.connection is None or now - self.heard > STALE_AFTER_S
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -236,3 +236,21 @@
         assert not agent.arbiter.runs and worker.started == []
         agent.on_message(session, session.connection, late)
         await until(lambda: len(worker.started) == 1)
+
+
+async def test_run_that_waits_is_not_started_after_a_suspension_until_its_entry_is_heard_of():
+    """What the connection heard before the suspension must not count as heard since."""
+    worker = StandInWorker()
+    async with run_path(worker) as (_, agent):
+        session = agent.arbiter.sessions["e1"]
+        agent.suspended_s -= 3.0
+        agent.look_for_suspension()
+        session.connection.lead_echo = agent.arbiter.awake_since - 0.01
+        order = make_order(slack_ms=9000.0)
+        agent.arbiter.place(session, [order], agent.clock.now())
+        agent.after_change()
+        assert worker.started == [] and not agent.arbiter.starts
+        assert [run.state for run in agent.arbiter.runs.values()] == ["queued"]
+        session.connection.lead_echo = agent.clock.now()
+        agent.after_change()
+        await until(lambda: len(worker.started) == 1)
