--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -4,19 +4,25 @@
 import logging
 from contextlib import asynccontextmanager
 
+from attrs import evolve
+
 from onyxfork.addresses import Address
+from onyxfork.direct.announcements import LostEntries
 from onyxfork.direct.answer_times import AnswerTimes
 from onyxfork.direct.arbiter import Arbiter
+from onyxfork.direct.documents import compress_document
 from onyxfork.direct.lease import FencingToken, Lease, WorkerClock
 from onyxfork.direct.links import ControlLinks
 from onyxfork.direct.messages import (
     AgentAnnounced,
     DirectoryNode,
+    FetchDocument,
     PlaceTasks,
     Recall,
     Resume,
     TaskEvents,
     Withdraw,
+    restore_specs,
 )
 from onyxfork.direct.worker_driver import WorkerDriver
 from onyxfork.errors import OnyxforkError, ProtocolError
@@ -28,25 +34,28 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.05
-NEARLY_FULL_STATUS_DELAY_S = 0.004
-"""Replaces `STATUS_DELAY_S` while the worker is nearly full, because a report affects decisions of
-entries only then."""
+STATUS_DELAY_S = 0.1
+"""Status changes within this delay are sent to entries as one report. The entry whose run has ended
+gets a report with the event."""
 
-STATUS_DELAY_S = 0.015
-"""Status changes within this delay are sent to entries as one report."""
+NEARLY_FULL_STATUS_DELAY_S = 0.015
+"""Replaces `STATUS_DELAY_S` while the worker is nearly full, because entries wait for capacity."""
 
-NEARLY_FULL_FREE_SHARE = 0.5
+NEARLY_FULL_FREE_SHARE = 0.3
 """A worker counts as nearly full if less than this share of its cores is free."""
 
+STARTED_EVENT_DELAY_S = 0.01
+"""Start events within this delay are sent as one message, or with the next end of a run."""
+
+UNCHANGED_STATUS_INTERVAL_S = 0.15
+"""A report that would repeat the latest one is sent only after this long, to renew the clock value
+in it."""
+
 MIN_SUSPENSION_S = 0.1
 """Shorter suspensions of the machine are ignored: the network may delay orders as much."""
 
-ANNOUNCE_INTERVAL_S = 0.3
-"""Interval between announcements to an entry without a session."""
-
-ANNOUNCE_DURATION_S = 120.0
-"""How long the agent announces its address to an entry without a session, which may have restarted
-while control is unavailable."""
+ANNOUNCE_CHECK_INTERVAL_S = 0.1
+"""Interval at which announcements that are due are sent."""
 
 
 class DirectAgent(WorkerDriver):
@@ -65,10 +74,14 @@
         Number of the latest ended run that the worker has reported.
     missed_renewals : int
         Renewals of the lease without an answer since the latest answer.
+    lost_entries : LostEntries
+        Entries that have lost their connection to this agent.
     takeover_complete : asyncio.Event
         Set once the worker runs nothing that an earlier agent ordered.
-    status_scheduled : bool
-        Whether a status report is due to be sent.
+    status_timer : asyncio.TimerHandle or None
+        Timer of the next status report.
+    reported_state : str
+        State of the worker in the latest report to all entries.
     """
 
     def __init__(self, settings, client, clock, telemetry):
@@ -86,8 +99,10 @@
         self.takeover_complete = asyncio.Event()
         self.worker_known = asyncio.Event()
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
+        self.lost_entries = LostEntries()
         self.stopping = False
-        self.status_scheduled = False
+        self.status_timer = None
+        self.reported_state = self.arbiter.state
         self.spawn = None
         self.suspended_s = clock.suspended_s()
 
@@ -109,22 +124,49 @@
         for run in stops:
             self.spawn(self.stop_run(run))
         self.send_events()
-        if arbiter.changed and not self.status_scheduled:
-            self.status_scheduled = True
-            delay_s = (
-                NEARLY_FULL_STATUS_DELAY_S
-                if arbiter.is_nearly_full(NEARLY_FULL_FREE_SHARE)
-                else STATUS_DELAY_S
-            )
-            asyncio.get_running_loop().call_later(delay_s, self.send_status)
+        if arbiter.changed:
+            self.schedule_status()
+
+    def schedule_status(self):
+        """Schedule a status report, or bring it forward: a change of state is reported at once."""
+        if self.arbiter.state != self.reported_state:
+            delay_s = 0.0
+        elif self.arbiter.is_nearly_full(NEARLY_FULL_FREE_SHARE):
+            delay_s = NEARLY_FULL_STATUS_DELAY_S
+        else:
+            delay_s = STATUS_DELAY_S
+        loop = asyncio.get_running_loop()
+        due_at = loop.time() + delay_s
+        if self.status_timer is not None:
+            if self.status_timer.when() <= due_at:
+                return
+            self.status_timer.cancel()
+        self.status_timer = loop.call_at(due_at, self.send_status)
 
     def send_events(self):
-        """Send pending events to the connected entries."""
+        """Send pending events to the connected entries; starts alone may wait a little."""
         for session in self.arbiter.sessions.values():
-            if session.events and session.connection is not None:
-                events, session.events = session.events, []
-                self.count_events(events)
-                session.connection.send(TaskEvents(events))
+            if not session.events or session.connection is None:
+                continue
+            if any(event.kind != "started" for event in session.events):
+                self.send_events_to(session)
+                self.send_status_to(session)
+            elif not session.events_scheduled:
+                session.events_scheduled = True
+                loop = asyncio.get_running_loop()
+                loop.call_later(STARTED_EVENT_DELAY_S, self.send_start_events, session)
+
+    def send_start_events(self, session):
+        """Send the start events that have waited for `STARTED_EVENT_DELAY_S`."""
+        session.events_scheduled = False
+        if session.events and session.connection is not None:
+            self.send_events_to(session)
+
+    def send_events_to(self, session):
+        """Send its pending events to one connected entry."""
+        events, session.events = session.events, []
+        self.count_events(events)
+        session.connection.send(TaskEvents(events))
 
     def count_events(self, events):
         """Count events of runs and log the runs that ended without success."""
@@ -146,12 +188,23 @@
 
     def send_status(self):
         """Send every connected entry the state and free capacity of the worker."""
-        self.status_scheduled = False
+        self.status_timer = None
         self.arbiter.changed = False
-        now = self.clock.now()
+        self.reported_state = self.arbiter.state
         for session in self.arbiter.sessions.values():
             if session.connection is not None:
-                session.connection.send(self.arbiter.status(session, now))
+                self.send_status_to(session)
+
+    def send_status_to(self, session):
+        """Send one entry a status report, unless it repeats a recent one."""
+        now = self.clock.now()
+        status = self.arbiter.status(session, now)
+        if session.latest_status is not None:
+            is_repeated = evolve(session.latest_status, clock=now) == status
+            if is_repeated and now - session.latest_status.clock < UNCHANGED_STATUS_INTERVAL_S:
+                return
+        session.latest_status = status
+        session.connection.send(status)
 
     # Entries
 
@@ -169,6 +222,8 @@
             log.info("entry disconnected", extra={"entry": peer.node, "reason": reason})
         finally:
             self.arbiter.disconnect(session, connection, self.clock.now())
+            if session.connection is None:
+                self.lost_entries.on_disconnected(session.entry, self.clock.now())
 
     def on_message(self, session, connection, message):
         """Process one message of an entry.
@@ -183,13 +238,19 @@
         self.detect_suspension()
         now = self.clock.now()
         if isinstance(message, PlaceTasks):
+            restore_specs(message.orders)
             self.arbiter.place(session, message.orders, now, message.agent_clock)
         elif isinstance(message, Withdraw):
             self.arbiter.withdraw(session, message.refs, now)
         elif isinstance(message, Recall):
             self.arbiter.recall(session, message.refs, now)
         elif isinstance(message, Resume):
+            self.lost_entries.on_connected(session.entry, message.address)
             self.arbiter.resume(session, message.refs, now)
+        elif isinstance(message, FetchDocument):
+            if self.control.document is not None:
+                connection.send(compress_document(self.control.document))
+            return
         else:
             raise ProtocolError(f"unexpected {type(message).__name__}")
         self.apply_decisions()
@@ -211,34 +272,26 @@
             self.arbiter.record_suspension(self.clock.now())
         self.suspended_s = suspended_s
 
-    async def announce_to_missing_entries(self):
-        """Announce this agent to entries without a session, in case control is unavailable."""
-        missing_since = {}
+    async def announce_to_lost_entries(self):
+        """Announce this agent to entries that it has lost, in case control is unavailable."""
         while True:
-            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
-            now = self.clock.now()
-            present = {session.entry for session in self.arbiter.sessions.values()}
-            for node in self.control.nodes_with_role("entry"):
-                if node.node in present:
-                    missing_since.pop(node.node, None)
-                elif now - missing_since.setdefault(node.node, now) < ANNOUNCE_DURATION_S:
-                    self.spawn(self.announce_to_entry(node))
-
-    async def announce_to_entry(self, node):
+            await asyncio.sleep(ANNOUNCE_CHECK_INTERVAL_S)
+            for address in self.lost_entries.take_due(self.clock.now()):
+                self.spawn(self.announce_to_entry(address))
+
+    async def announce_to_entry(self, address):
         """Announce this agent's address to one entry over a connection of its own."""
         settings = self.settings
         own_node = DirectoryNode(settings.node, "agent", settings.zone, str(settings.address))
         try:
             async with open_connection(
-                Address.from_text(node.address).host_and_port, self.hello(), settings.timing
+                Address.from_text(address).host_and_port, self.hello(), settings.timing
             ) as connection:
-                connection.send(AgentAnnounced(own_node, self.control.document))
+                connection.send(AgentAnnounced(own_node))
                 connection.flush()
                 await asyncio.sleep(TICK_S)
         except (OSError, OnyxforkError) as error:
-            log.debug(
-                "connecting to entry failed", extra={"entry": node.node, "reason": str(error)}
-            )
+            log.debug("connecting to entry failed", extra={"entry": address, "reason": str(error)})
 
     async def stop(self):
         """Drain the agent: return queued runs, accept no orders and let started runs end.
@@ -276,7 +329,7 @@
         agent.spawn = spawn
         spawn(agent.keep_lease())
         spawn(agent.tick_periodically())
-        spawn(agent.announce_to_missing_entries())
+        spawn(agent.announce_to_lost_entries())
         spawn(agent.control.run(spawn))
         spawn(serve_after_takeover(agent))
         agent.control.set_own_address(str(settings.address))
@@ -288,5 +341,8 @@
     listen = agent.settings.listen
     await agent.takeover_complete.wait()
     log.info("worker takeover complete", extra={"token": agent.token.value})
-    async with serve(listen.host, listen.port, agent.hello, agent.settings.timing, agent.accept):
+    counter = agent.telemetry.make_message_counter("entry")
+    async with serve(
+        listen.host, listen.port, agent.hello, agent.settings.timing, agent.accept, counter
+    ):
         await asyncio.Event().wait()
--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -32,6 +32,7 @@
             session = self.sessions[entry] = Session(entry, incarnation)
         session.connection = connection
         session.orders_received = 0
+        session.latest_status = None
         return session
 
     def disconnect(self, session, connection, now):
--- a/onyxfork/direct/directory.py
+++ b/onyxfork/direct/directory.py
@@ -1,9 +1,14 @@
-"""The nodes connected to one control instance, and what has been sent to them."""
+"""The nodes connected to one control instance, and what has been sent to them.
 
-from attrs import define
+An entry is sent only the agents that are assigned to it, and an agent no other nodes, so neither
+the messages nor the memory of a node depend on the number of nodes.
+"""
+
+from attrs import define, field
 
 from onyxfork.direct.documents import compress_document
 from onyxfork.direct.messages import Directory, DirectoryNode, DocumentAnnounced
+from onyxfork.direct.subsets import SubsetTable
 
 __all__ = ["NodeDirectory"]
 
@@ -17,10 +22,26 @@
 
 @define(eq=False)
 class Follower:
-    """A connected node and the newest configuration version that it holds or was announced."""
+    """A connected node.
+
+    Parameters
+    ----------
+    node : DirectoryNode
+    version : int
+        Newest configuration version that it holds or was announced.
+    labels : frozenset of str
+        Labels of an agent's worker.
+    wanted_labels : list of str
+        Labels for which an entry lacks capacity.
+    sent : Directory or None
+        The latest directory that it was sent.
+    """
 
     node: DirectoryNode
     version: int
+    labels: frozenset = frozenset()
+    wanted_labels: list = field(factory=list)
+    sent: Directory | None = None
 
 
 class NodeDirectory:
@@ -37,12 +58,14 @@
     ----------
     followers : dict of Connection to Follower
         Connected nodes.
-    disconnected : dict of str to (float, DirectoryNode)
+    disconnected : dict of str to (float, Follower)
         Recently disconnected nodes, with the time in monotonic seconds.
+    subsets : SubsetTable
+        Assignment of agents to entries.
     sent_control : list of str
-        Addresses of control instances in the latest directory.
+        Addresses of control instances in the latest directories.
     dirty : bool
-        Whether the directory has changed since it was sent.
+        Whether the nodes have changed since the directories were sent.
     transfer : DocumentTransfer or None
         The latest configuration that was sent, reused for other nodes.
     """
@@ -55,6 +78,7 @@
         self.control_addresses = control_addresses
         self.followers = {}
         self.disconnected = {}
+        self.subsets = SubsetTable()
         self.sent_control = []
         self.dirty = False
         self.transfer = None
@@ -64,20 +88,26 @@
         self.state = state
 
     def register(self, connection, message):
-        """Add a connected node and send it the directory and the configuration's version."""
+        """Add or update a connected node; announce the configuration if its own is older."""
         peer = connection.peer
         node = DirectoryNode(peer.node, peer.role, peer.zone, message.address)
-        follower = self.followers[connection] = Follower(node, message.version)
+        former = self.followers.get(connection)
+        follower = self.followers[connection] = Follower(
+            node,
+            message.version if former is None else max(message.version, former.version),
+            frozenset(message.labels),
+            message.wanted_labels,
+            former.sent if former else None,
+        )
         self.disconnected.pop(peer.node, None)
         self.announce(connection, follower)
-        connection.send(self.make_directory())
         self.dirty = True
 
     def drop(self, connection):
         """Remove a closed connection; its node stays listed until it expires."""
         follower = self.followers.pop(connection, None)
         if follower is not None:
-            self.disconnected[follower.node.node] = (self.clock.now(), follower.node)
+            self.disconnected[follower.node.node] = (self.clock.now(), follower)
 
     def flush(self):
         """Announce the configuration to every node that neither holds it nor was announced it."""
@@ -100,7 +130,7 @@
         connection.send(self.transfer)
 
     def send_updates(self, current):
-        """Send the directory to all nodes if it has changed.
+        """Send each node its directory if that has changed.
 
         Parameters
         ----------
@@ -113,9 +143,21 @@
             return
         self.dirty = False
         self.sent_control = control
-        message = self.make_directory()
-        for connection in self.followers:
-            connection.send(message)
+        listed = self.list_nodes()
+        by_role = {"entry": {}, "agent": {}}
+        for name, known in listed.items():
+            by_role.setdefault(known.node.role, {})[name] = known
+        zones = {
+            role: {name: known.node.zone for name, known in nodes.items()}
+            for role, nodes in by_role.items()
+        }
+        labels = {name: known.labels for name, known in by_role["agent"].items()}
+        self.subsets.update(zones["entry"], zones["agent"], labels)
+        for connection, follower in self.followers.items():
+            message = Directory(self.assigned_agents(follower, listed), control)
+            if message != follower.sent:
+                follower.sent = message
+                connection.send(message)
 
     def drop_expired_nodes(self):
         """Drop nodes that have been disconnected for longer than `DISCONNECTED_RETENTION_S`."""
@@ -129,8 +171,15 @@
         """Return None: the replicated state holds no nodes that could be lost."""
         return None
 
-    def make_directory(self):
-        """Return the `Directory` of the nodes listed here and the control instances."""
-        nodes = {node.node: node for _, node in self.disconnected.values()}
-        nodes.update({follower.node.node: follower.node for follower in self.followers.values()})
-        return Directory(list(nodes.values()), self.control_addresses())
+    def list_nodes(self):
+        """Return the connected and the recently disconnected nodes by name."""
+        listed = {name: follower for name, (_, follower) in self.disconnected.items()}
+        listed.update({follower.node.node: follower for follower in self.followers.values()})
+        return listed
+
+    def assigned_agents(self, follower, listed):
+        """Return the agents that a node should connect to: none unless it is an entry."""
+        if follower.node.role != "entry":
+            return []
+        names = self.subsets.agents_for(follower.node.node, follower.wanted_labels)
+        return [listed[name].node for name in sorted(names)]
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -26,6 +26,7 @@
 from onyxfork.direct.jobs import PLACED, WAITING, make_job
 from onyxfork.direct.placement import can_ever_run, choose_worker
 from onyxfork.direct.requests import REFUSED, UNKNOWN, JobOutcome
+from onyxfork.direct.subsets import ANY_LABEL
 from onyxfork.direct.workers import RunTimeBaseline
 
 __all__ = ["Dispatcher"]
@@ -37,14 +38,18 @@
 arrival. A job that may have started continues beyond it: if it were abandoned, the caller would
 send it again and all of it would run again."""
 
-RECALL_AFTER_S = 0.015
+RECALL_AFTER_S = 0.02
 """A run that has no start event this long after its order is assumed to be queued at its agent: an
-order and its start event take a few milliseconds."""
+order and its start event take a few milliseconds, and the agent delays the event by up to 10."""
 
 MIN_READY_AGENT_SHARE = 0.5
 """If more than this share of the known agents is ready, a lack of free capacity is due to load and
 not to agents that are still reconnecting."""
 
+MAX_PLACEMENT_WAIT_S = 0.05
+"""If a task has found no worker for this long since its job arrived, the entry needs more agents;
+a busy worker ends a run every few tens of milliseconds."""
+
 OVERDUE_PENALTY_S = 60.0
 """Added to the heap key of a task that is late, so that it sorts after all tasks that can still be
 on time; longer than any slack."""
@@ -59,6 +64,8 @@
         Monotonic seconds at the start of the process.
     rng : random.Random, optional
         Source of the jitter in placement.
+    zone : str
+        Availability zone of this entry, whose workers are preferred.
 
     Attributes
     ----------
@@ -72,6 +79,9 @@
         Tasks that wait for free capacity.
     known_agent_count : int
         Agents in the directory, connected or not.
+    shortages : dict of str to float
+        For each label of which the known workers have had too little free capacity, when that was
+        last so (monotonic seconds); `ANY_LABEL` stands for all workers.
     millicores_in_use : int
         Thousandths of a core that are reserved by runs at agents.
     recovery_ends_at, startup_ends_at : float
@@ -87,10 +97,12 @@
         Finished jobs whose callers have not been answered yet.
     """
 
-    def __init__(self, now, rng=None):
+    def __init__(self, now, rng=None, zone=""):
         self.rng = rng or Random()
+        self.zone = zone
         self.recovery_ends_at = self.startup_ends_at = now + RECOVERY_WINDOW_S
         self.known_agent_count = 0
+        self.shortages = {}
         self.jobs = {}
         self.workers = {}
         self.waiting_heap = []
@@ -125,6 +137,9 @@
         if refusal is not None:
             return refusal
         self.jobs[job.id] = job
+        for step in request.steps:
+            if step.rack:
+                self.record_shortage(step, now)
         for task in job.tasks:
             if task.state == WAITING:
                 self.enqueue(task)
@@ -140,6 +155,7 @@
             return None if now < self.recovery_ends_at else Refusal("no worker is ready")
         for position, step in enumerate(job.request.steps):
             if not can_ever_run(step, job.request.queue.service, self.workers.values()):
+                self.record_shortage(step, now)
                 return Refusal(f"step {position} fits no worker")
         millicores = self.millicores_in_use + sum(max(0, view.cpu_free) for view in views)
         max_slack_share = (
@@ -205,8 +221,12 @@
             if key < now:
                 self.push_waiting(task, key + OVERDUE_PENALTY_S)
                 continue
-            view = choose_worker(task, self.workers.values(), self.run_time_baseline, self.rng, now)
+            view = choose_worker(
+                task, self.workers.values(), self.run_time_baseline, self.rng, now, self.zone
+            )
             if view is None:
+                if now - task.job.arrived_at >= MAX_PLACEMENT_WAIT_S:
+                    self.record_shortage(task.spec, now)
                 passed_over.append(item)
                 if len(passed_over) >= 4:
                     break
@@ -215,6 +235,10 @@
         for item in passed_over:
             heapq.heappush(self.waiting_heap, item)
 
+    def record_shortage(self, step, now):
+        """Record that the known workers have too little free capacity for a task of `step`."""
+        self.shortages[step.label or step.rack or ANY_LABEL] = now
+
     def place(self, task, view, now):
         """Reserve capacity of a worker for a new run of a task, and add the order to the output."""
         self.waiting_tasks.discard(task)
@@ -223,6 +247,7 @@
         task.withdrawn = task.recalled = False
         if task.job.first_placed_at is None:
             task.job.first_placed_at = now
+        task.job.latest_worker = view.node
         view.record_order(task.spec)
         view.tasks[task.ref.key] = task
         self.millicores_in_use += task.spec.cpu
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -6,16 +6,20 @@
 
 from onyxfork.direct.admission import Refusal
 from onyxfork.direct.dispatcher import Dispatcher
+from onyxfork.direct.documents import decompress_document
 from onyxfork.direct.jobs import longest_chain_ms
 from onyxfork.direct.links import ControlLinks, Dialer
 from onyxfork.direct.messages import (
     AgentAnnounced,
+    DocumentTransfer,
+    FetchDocument,
     PlaceTasks,
     Recall,
     Resume,
     TaskEvents,
     Withdraw,
     WorkerStatus,
+    share_specs,
 )
 from onyxfork.direct.requests import REFUSED, JobOutcome
 from onyxfork.errors import ProtocolError
@@ -44,6 +48,20 @@
 STOP_MARGIN_S = 0.3
 """Part of a planned stop that is reserved for sending the last answers."""
 
+MAX_SESSIONS = 96
+"""Upper bound on connections to agents, beyond which those that control no longer assigns to this
+entry are closed when they hold no runs."""
+
+MAX_WANTED_LABELS = 4
+"""Upper bound on the labels for which more agents are requested at a time."""
+
+WANTED_LABEL_RETENTION_S = 5.0
+"""How long after the latest shortage the additional agents of a label stay assigned."""
+
+SUBSET_INTERVAL_S = 0.25
+"""Interval at which the requests for additional agents and for a first configuration are
+reviewed."""
+
 
 class DirectEntry:
     """An entry process.
@@ -64,6 +82,8 @@
         Address and dialer task by agent.
     answer_futures : dict of Job to asyncio.Future
         Futures that receive the outcomes of jobs.
+    subset_review_at : float
+        Monotonic seconds of the next `review_subset`.
     stop_started_at : float or None
         Monotonic seconds at which a planned stop began.
     spawn : callable or None
@@ -74,7 +94,7 @@
         self.settings = settings
         self.clock = clock
         self.telemetry = telemetry
-        self.dispatcher = Dispatcher(clock.now())
+        self.dispatcher = Dispatcher(clock.now(), zone=settings.zone)
         self.configured = asyncio.Event()
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
         self.control.directory_listeners.append(self.update_agent_dialers)
@@ -83,6 +103,8 @@
         self.dialers = {}
         self.answer_futures = {}
         self.stop_started_at = None
+        self.message_counter = telemetry.make_message_counter("agent")
+        self.subset_review_at = clock.now()
         self.spawn = None
         telemetry.gauge("jobs_inside", lambda: len(self.dispatcher.jobs))
         telemetry.gauge("tasks_waiting", lambda: len(self.dispatcher.waiting_tasks))
@@ -172,7 +194,8 @@
     def update_agent_dialers(self):
         """Start and cancel dialers so that there is one for each agent in the directory.
 
-        An agent that is no longer listed keeps its dialer while it is connected.
+        An agent that is no longer listed keeps its dialer while it is connected, except for idle
+        ones beyond `MAX_SESSIONS`.
         """
         agents = {node.node: node for node in self.control.nodes_with_role("agent")}
         self.dispatcher.known_agent_count = len(agents)
@@ -185,9 +208,17 @@
                 task = self.spawn(self.make_dialer(node).run())
                 self.dialers[name] = (node.address, task)
         for name in list(self.dialers):
-            if name not in agents and name not in self.connections:
+            if name in agents:
+                continue
+            is_surplus = len(self.dialers) > MAX_SESSIONS and not self.has_runs(name)
+            if name not in self.connections or is_surplus:
                 self.dialers.pop(name)[1].cancel()
 
+    def has_runs(self, name):
+        """Return whether an agent holds runs of this entry."""
+        view = self.dispatcher.workers.get(name)
+        return view is not None and bool(view.tasks)
+
     def make_dialer(self, node):
         """Return the `Dialer` of one agent."""
         return Dialer(
@@ -197,13 +228,14 @@
             lambda connection: self.on_agent_connected(node, connection),
             lambda connection, message: self.on_agent_message(node.node, message),
             lambda connection, reason: self.on_agent_disconnected(node.node, connection, reason),
+            self.message_counter,
         )
 
     def on_agent_connected(self, node, connection):
         """Send a newly connected agent the list of runs that it should hold."""
         refs = self.dispatcher.on_connected(node.node, node.zone)
         self.connections[node.node] = connection
-        connection.send(Resume(refs))
+        connection.send(Resume(refs, str(self.settings.address)))
         log.info("agent connected", extra={"agent": node.node, "runs": len(refs)})
 
     def on_agent_disconnected(self, name, connection, reason):
@@ -223,6 +255,8 @@
             self.dispatcher.on_status(name, message, now)
         elif isinstance(message, TaskEvents):
             self.dispatcher.on_events(name, message.events, now)
+        elif isinstance(message, DocumentTransfer):
+            self.control.adopt_document(decompress_document(message), name)
         else:
             raise ProtocolError(f"unexpected {type(message).__name__}")
         self.flush()
@@ -265,6 +299,7 @@
         """Send orders to an agent, with the latest value received of its clock."""
         connection = self.connections.get(name)
         if connection is not None:
+            share_specs(orders)
             connection.send(PlaceTasks(orders, connection.peer_clock))
 
     def send(self, name, message):
@@ -304,20 +339,39 @@
         """Call the dispatcher's tick periodically."""
         while True:
             await asyncio.sleep(TICK_S)
-            self.dispatcher.tick(self.clock.now())
+            now = self.clock.now()
+            self.dispatcher.tick(now)
             self.flush()
+            if now >= self.subset_review_at:
+                self.subset_review_at = now + SUBSET_INTERVAL_S
+                self.review_subset(now)
+
+    def review_subset(self, now):
+        """Ask control for more agents where capacity is short, and an agent for a configuration.
+
+        An agent is asked only while there is no configuration, as after a restart while control is
+        unavailable.
+        """
+        shortages = self.dispatcher.shortages
+        for label in list(shortages):
+            if now - shortages[label] > WANTED_LABEL_RETENTION_S:
+                del shortages[label]
+        latest = sorted(shortages, key=shortages.get, reverse=True)[:MAX_WANTED_LABELS]
+        self.control.update_labels(wanted_labels=sorted(latest))
+        if self.control.document is None and self.connections:
+            connection = self.dispatcher.rng.choice(list(self.connections.values()))
+            connection.send(FetchDocument())
 
     async def accept(self, connection):
         """Serve a connection from an agent that announces itself."""
         await connection.run(self.on_agent_announced)
 
     def on_agent_announced(self, connection, message):
-        """Add an agent that has announced itself, and adopt its configuration if that is newer."""
+        """Add an agent that has announced itself, unless control assigns the agents."""
         if not isinstance(message, AgentAnnounced):
             raise ProtocolError(f"unexpected {type(message).__name__}")
-        self.control.add_announced_node(message.agent)
-        if message.document is not None:
-            self.control.adopt_document(message.document, message.agent.node)
+        if not self.control.connections:
+            self.control.add_announced_node(message.agent)
 
     async def stop(self):
         """Perform a planned stop.
--- a/onyxfork/direct/jobs.py
+++ b/onyxfork/direct/jobs.py
@@ -107,6 +107,8 @@
         None until the job has finished.
     first_placed_at : float or None
         Monotonic seconds at which the first run was ordered.
+    latest_worker : str
+        Node of the agent that was sent the latest order.
     """
 
     id: str
@@ -119,6 +121,7 @@
     open_tasks: list = field(factory=list)
     outcome: object = None
     first_placed_at: float | None = None
+    latest_worker: str = ""
 
     @property
     def may_have_started(self):
--- a/onyxfork/direct/links.py
+++ b/onyxfork/direct/links.py
@@ -1,4 +1,4 @@
-"""Connections that a node opens: to every control instance, and from an entry to every agent.
+"""Connections that a node opens: to every control instance, and from an entry to its agents.
 
 A node connects to all control instances, of which there are few, so that it depends on no single
 one. While none is reachable, the last configuration and directory stay in use.
@@ -58,15 +58,18 @@
         Called as ``on_message(connection, message)``.
     on_close : callable
         Called with the connection and the reason.
+    counter : callable, optional
+        Counts messages, as in `Connection`.
     """
 
-    def __init__(self, address, make_hello, timing, on_open, on_message, on_close):
+    def __init__(self, address, make_hello, timing, on_open, on_message, on_close, counter=None):
         self.address = address
         self.make_hello = make_hello
         self.timing = timing
         self.on_open = on_open
         self.on_message = on_message
         self.on_close = on_close
+        self.counter = counter
         self.rng = Random()
 
     async def run(self):
@@ -83,7 +86,10 @@
         opened = False
         try:
             async with open_connection(
-                Address.from_text(self.address).host_and_port, self.make_hello(), self.timing
+                Address.from_text(self.address).host_and_port,
+                self.make_hello(),
+                self.timing,
+                self.counter,
             ) as connection:
                 opened = True
                 self.on_open(connection)
@@ -122,6 +128,8 @@
         Known entries and agents by name.
     last_listed_at : dict of str to float
         Monotonic seconds at which each of them was last listed or announced itself.
+    labels, wanted_labels : list of str
+        Labels of an agent's worker, and labels for which an entry lacks capacity.
     document_listeners, directory_listeners : list of callable
         Called after a change.
     """
@@ -131,6 +139,7 @@
         self.clock = clock
         self.make_hello = make_hello
         self.telemetry = telemetry
+        self.message_counter = telemetry.make_message_counter("control")
         self.document = None
         self.fetcher = DocumentFetcher()
         self.directories = {}
@@ -142,11 +151,35 @@
         self.directory_listeners = []
         self.dialers = {}
         self.own_address = ""
+        self.labels = []
+        self.wanted_labels = []
 
     def set_own_address(self, address):
         """Set the address at which other nodes reach this one."""
         self.own_address = address
 
+    def update_labels(self, labels=None, wanted_labels=None):
+        """Set labels of the registration; register again at all control instances if they change.
+
+        Parameters
+        ----------
+        labels : list of str, optional
+            Labels of this agent's worker.
+        wanted_labels : list of str, optional
+            Labels for which this entry lacks capacity.
+        """
+        former = self.labels, self.wanted_labels
+        self.labels = self.labels if labels is None else labels
+        self.wanted_labels = self.wanted_labels if wanted_labels is None else wanted_labels
+        if (self.labels, self.wanted_labels) != former:
+            for connection in self.connections.values():
+                connection.send(self.make_registration())
+
+    def make_registration(self):
+        """Return the `Register` of this node."""
+        version = self.document.version if self.document else 0
+        return Register(self.own_address, version, self.labels, self.wanted_labels)
+
     def nodes_with_role(self, role):
         """Return the known nodes of a role."""
         return [node for node in self.nodes.values() if node.role == role]
@@ -194,13 +227,13 @@
             lambda connection: self.on_control_connected(address, connection),
             lambda connection, message: self.on_control_message(address, message),
             lambda connection, reason: self.on_control_disconnected(address, reason),
+            self.message_counter,
         )
 
     def on_control_connected(self, address, connection):
         """Register at a control instance."""
         self.connections[address] = connection
-        version = self.document.version if self.document else 0
-        connection.send(Register(self.own_address, version))
+        connection.send(self.make_registration())
         log.info("control connected", extra={"control": address})
 
     def on_control_disconnected(self, address, reason):
--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -9,6 +9,8 @@
     "TaskOrder",
     "TaskEvent",
     "PlaceTasks",
+    "share_specs",
+    "restore_specs",
     "Withdraw",
     "Recall",
     "Resume",
@@ -110,6 +112,8 @@
 
     Parameters
     ----------
+    orders : list of TaskOrder
+        Orders of one job have the same `spec`; only the first carries it, see `share_specs`.
     agent_clock : float
         The latest value of the agent's clock that the entry has received on this connection. It is
         a lower bound on when the orders were sent; the agent returns those that are stale.
@@ -119,6 +123,22 @@
     agent_clock: float
 
 
+def share_specs(orders):
+    """Clear the spec of every order but the first of each job, before the orders are sent."""
+    jobs = set()
+    for order in orders:
+        if order.job in jobs:
+            order.spec = ""
+        jobs.add(order.job)
+
+
+def restore_specs(orders):
+    """Set the specs that `share_specs` has cleared."""
+    specs = {}
+    for order in orders:
+        order.spec = specs.setdefault(order.job, order.spec)
+
+
 @message(131)
 @define
 class Withdraw:
@@ -142,9 +162,15 @@
 
     The agent stops all other runs of the entry, and sends an event for each listed run that it no
     longer holds.
+
+    Parameters
+    ----------
+    address : str
+        Where the entry accepts announcements.
     """
 
     refs: list[TaskRef]
+    address: str = ""
 
 
 @message(133)
@@ -202,10 +228,24 @@
 @message(140)
 @define
 class Register:
-    """Sent by a node to control: its address for other nodes and its configuration's version."""
+    """Sent by a node to control on each new connection, and again after a change.
+
+    Parameters
+    ----------
+    address : str
+        The node's address for other nodes.
+    version : int
+        Version of the configuration that it holds.
+    labels : list of str
+        Labels of an agent's worker.
+    wanted_labels : list of str
+        Labels for which an entry lacks capacity.
+    """
 
     address: str
     version: int = 0
+    labels: list[str] = field(factory=list)
+    wanted_labels: list[str] = field(factory=list)
 
 
 @define(slots=True)
@@ -221,7 +261,15 @@
 @message(141)
 @define
 class Directory:
-    """Entries and agents known to a control instance, and the addresses of all instances."""
+    """Sent by a control instance to a node: the nodes it should connect to.
+
+    Parameters
+    ----------
+    nodes : list of DirectoryNode
+        For an entry, the agents assigned to it; empty for an agent.
+    control : list of str
+        Addresses of all control instances.
+    """
 
     nodes: list[DirectoryNode]
     control: list[str]
@@ -262,10 +310,9 @@
 @message(143)
 @define
 class AgentAnnounced:
-    """Sent by an agent to an entry that is not connected to it: its address and configuration.
+    """Sent by an agent to an entry that has lost its connection: the agent's address.
 
     With it the entry can connect to the agent although control is unavailable.
     """
 
     agent: DirectoryNode
-    document: ConfigurationDocument | None = None
--- a/onyxfork/direct/placement.py
+++ b/onyxfork/direct/placement.py
@@ -26,6 +26,13 @@
 REMOTE_RACK_FACTOR = 1.5
 """Run time outside the rack that holds a task's data, as a multiple of the run time inside it."""
 
+REMOTE_ZONE_PENALTY = 0.15
+"""Cost of a worker in another availability zone: its messages are slower and may be charged for."""
+
+SAME_JOB_DISCOUNT = 0.06
+"""Subtracted for the worker that has just got a task of the same job: one message orders both, and
+a job that uses fewer workers is less likely to meet a slow one."""
+
 FAILURE_PENALTY = 4.0
 """Cost of a worker all of whose recent runs failed (scaled by the share that failed), and of a
 worker that is to be avoided."""
@@ -52,7 +59,7 @@
     return any(view.status.service == service and view.fits_when_empty(step) for view in reported)
 
 
-def placement_cost(task, view, baseline, rng, now):
+def placement_cost(task, view, baseline, rng, now, zone):
     """Return the cost of a task on a worker: its expected relative run time plus penalties."""
     step, status = task.spec, view.status
     total = RUN_TIME_WEIGHT * baseline.relative_run_time(view)
@@ -67,12 +74,16 @@
             / (1 - HIGH_UTILISATION_SHARE)
         )
     total += FAILURE_PENALTY * status.failure_share
+    if zone and view.zone != zone:
+        total += REMOTE_ZONE_PENALTY
+    if view.node == task.job.latest_worker:
+        total -= SAME_JOB_DISCOUNT
     if view.avoid_until > now or view.node in task.avoid:
         total += FAILURE_PENALTY
     return total + JITTER_SHARE * rng.random()
 
 
-def choose_worker(task, views, baseline, rng, now):
+def choose_worker(task, views, baseline, rng, now, zone=""):
     """Return the acceptable worker with free capacity and the lowest cost for a task, or None.
 
     Parameters
@@ -83,6 +94,8 @@
     rng : random.Random
     now : float
         Monotonic seconds.
+    zone : str
+        Availability zone whose workers are preferred; empty for none.
 
     Returns
     -------
@@ -97,7 +110,7 @@
             continue
         if step.max_per_worker and count_step_tasks(task, view) >= step.max_per_worker:
             continue
-        candidate_cost = placement_cost(task, view, baseline, rng, now)
+        candidate_cost = placement_cost(task, view, baseline, rng, now, zone)
         if candidate_cost < best_cost:
             best, best_cost = view, candidate_cost
     return best
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -138,6 +138,10 @@
         The latest events of ended runs by `TaskRef`, sent again if the entry reconnects.
     events : list of TaskEvent
         Events to be sent.
+    events_scheduled : bool
+        Whether a timer will send them.
+    latest_status : WorkerStatus or None
+        The latest status report on the open connection.
     latest_agent_clock : float or None
         The latest value of this agent's clock that the entry is known to have received.
     """
@@ -149,6 +153,8 @@
     orders_received: int = 0
     ended_events: dict = field(factory=dict)
     events: list = field(factory=list)
+    events_scheduled: bool = False
+    latest_status: object = None
     latest_agent_clock: float | None = None
 
     def update_agent_clock(self, agent_clock):
--- a/onyxfork/direct/telemetry.py
+++ b/onyxfork/direct/telemetry.py
@@ -46,10 +46,24 @@
         self.gauges[name] = read
 
     def make_message_counter(self, peer_role):
-        """Return a function that counts the messages of a connection to a peer of a role."""
+        """Return a function that counts the messages of a connection to a peer of a role.
+
+        The bytes of a frame are counted for its first message.
+        """
+        labels = {}
 
         def count(direction, item, frame_bytes):
-            self.counters["messages", (("direction", direction), ("peer", peer_role))] += 1
+            key = direction, type(item)
+            series = labels.get(key)
+            if series is None:
+                series = labels[key] = (
+                    ("direction", direction),
+                    ("peer", peer_role),
+                    ("type", type(item).__name__),
+                )
+            self.counters["messages", series] += 1
+            if frame_bytes:
+                self.counters["message_bytes", series] += frame_bytes
 
         return count
 
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -53,6 +53,7 @@
         if not same_lifetime or former_state != worker.state:
             fields = {"worker": worker.id, "state": worker.state, "sequence": worker.sequence}
             log.info("worker reported", extra=fields)
+        self.control.update_labels(labels=worker.labels)
         self.worker_known.set()
         self.apply_decisions()
 
