--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -8,6 +8,7 @@
 import heapq
 import logging
 import math
+from collections import deque
 from itertools import count
 
 from onyxfork.direct.arbiter_entries import EntrySessions
@@ -53,6 +54,12 @@
 STALLED_FAILURE_SHARE = 0.8
 """Lower bound on the failure share when a run stalls, because other runs are likely to stall."""
 
+MAX_ENDED_LIFETIMES = 16
+"""Upper bound on the ended lifetimes of the worker that are remembered."""
+
+FORMER_SESSION_RETENTION_S = 30.0
+"""How long a dropped session is kept for its entry to return; jobs are shorter."""
+
 UNHEALTHY_PAUSE_S = 0.5
 """How long no run is started after the worker has refused a start as unhealthy."""
 
@@ -69,8 +76,13 @@
         The current lifetime of the worker.
     responsive : bool
         Whether the worker answers renewals of its lease.
+    ended_lifetimes : deque of (str, int)
+        Identity and start of the latest lifetimes that have ended; late reports of them are stale.
     sessions : dict
         Sessions by name of the entry's node.
+    former_sessions : dict
+        Sessions that were dropped because the entry was unreachable, by name of its node. They hold
+        the events of ended runs for an entry that returns later.
     runs : dict
         Runs by task key; a task has at most one run at a worker.
     queue : list of (float, int, Run)
@@ -93,8 +105,10 @@
 
     def __init__(self):
         self.worker = None
+        self.ended_lifetimes = deque(maxlen=MAX_ENDED_LIFETIMES)
         self.responsive = True
         self.sessions = {}
+        self.former_sessions = {}
         self.runs = {}
         self.queue = []
         self.sequence = count()
@@ -127,9 +141,12 @@
         Returns
         -------
         bool
-            False if the report is stale: of an earlier lifetime, or not newer than the latest one.
+            False if the report is stale: of an earlier or ended lifetime, or not newer than the
+            latest one.
         """
         current = self.worker
+        if (worker.id, worker.started_ms) in self.ended_lifetimes:
+            return False
         if current is not None:
             if worker.started_ms < current.started_ms:
                 return False
@@ -149,6 +166,8 @@
 
     def end_lifetime(self, reason, now):
         """Clear the worker and finish all its runs, because its lifetime has ended."""
+        if self.worker is not None:
+            self.ended_lifetimes.append((self.worker.id, self.worker.started_ms))
         self.worker = None
         self.changed = True
         for run in list(self.runs.values()):
@@ -333,6 +352,10 @@
         for session in list(self.sessions.values()):
             if session.connection is None and now - session.disconnected_at >= RESUME_TIMEOUT_S:
                 self.drop_session(session, "the entry is unreachable")
+                self.former_sessions[session.entry] = session
+        for session in list(self.former_sessions.values()):
+            if now - session.disconnected_at >= FORMER_SESSION_RETENTION_S:
+                del self.former_sessions[session.entry]
 
     def stop_slow_runs(self, now):
         """Stop runs that have stalled or would end sooner on another worker."""
--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -26,10 +26,13 @@
         If the entry has restarted, drop the session of its former process.
         """
         session = self.sessions.get(entry)
+        former = self.former_sessions.pop(entry, None)
         if session is None or session.incarnation != incarnation:
             if session is not None:
                 self.drop_session(session, "the entry has restarted")
-            session = self.sessions[entry] = Session(entry, incarnation)
+            is_same_process = former is not None and former.incarnation == incarnation
+            session = former if is_same_process else Session(entry, incarnation)
+            self.sessions[entry] = session
         session.connection = connection
         session.orders_received = 0
         session.latest_status = None
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -131,10 +131,14 @@
     def on_returned(self, task, view, event, now):
         """Reschedule a task whose run was returned without having started.
 
-        Reason ``old`` means that the worker has seen a higher run number of the task, and ``copy``
-        that the agent holds a run of the task that was ordered by another entry, or by this entry
-        before its restart.
+        Reason ``never arrived`` means that the agent does not know the run. If the agent has
+        restarted, its former process may have started it, and the run has ended since. Reason
+        ``old`` means that the worker has seen a higher run number of the task, and ``copy`` that
+        the agent holds a run of the task that was ordered by another entry, or by this entry before
+        its restart.
         """
+        if event.reason == "never arrived":
+            task.may_have_started = True
         if event.reason == "old":
             task.run += RUN_NUMBER_JUMP
         if event.reason == "copy":
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -153,23 +153,33 @@
     # Starts and stops
 
     async def start(self, run):
-        """Start a run at the worker and report the outcome to the arbiter."""
+        """Start a run at the worker and report the outcome to the arbiter.
+
+        The run is returned instead if its entry may have placed it elsewhere, which a pause of this
+        process since the decision allows.
+        """
         worker = self.arbiter.worker
         answer = "returned"
-        if worker is not None:
+        if self.arbiter.is_session_stale(run.session, self.clock.now()):
+            answer = "stale"
+        elif worker is not None:
             answer = await self.send_start(worker, run)
-        if answer not in ("started", "returned"):
+        if answer not in ("started", "returned", "stale"):
             fields = {"task": task_name(run.order.ref), "run": run.order.run, "answer": answer}
             log.info("start order failed", extra=fields)
         self.arbiter.on_start_reply(run, answer, self.clock.now())
         self.apply_decisions()
 
     async def send_start(self, worker, run):
-        """Send an order to start, and once more if the worker refuses its fencing token."""
+        """Send an order to start, and once more if the worker refuses its fencing token.
+
+        The lease is counted from the decision to start the run, so that the worker refuses an order
+        that is delayed for longer.
+        """
         for _ in range(2):
             sent_at = self.clock.now()
             token = self.token.value
-            until_ms = int(self.worker_clock.estimate_ms(sent_at) + self.lease.length_ms)
+            until_ms = int(self.worker_clock.estimate_ms(run.ordered_at) + self.lease.length_ms)
             self.lease.renewed_at = max(self.lease.renewed_at, sent_at)
             timeout_s = self.answer_times.timeout_s
             reply = await self.client.start(worker, run.order, until_ms, token, timeout_s)
--- a/onyxfork/messages/connection.py
+++ b/onyxfork/messages/connection.py
@@ -204,6 +204,11 @@
             self.close(str(error))
         except (OSError, asyncio.IncompleteReadError) as error:
             self.close(f"connection lost: {type(error).__name__}")
+        except Exception as error:
+            log.exception("a message could not be processed", extra={"peer": self.peer.node})
+            self.send(Reject(f"the message could not be processed: {type(error).__name__}"))
+            self.flush()
+            self.close("a message could not be processed")
         finally:
             keep_alive_task.cancel()
             self.close("closed")
