--- a/onyxfork/platform/callers.py
+++ b/onyxfork/platform/callers.py
@@ -3,12 +3,10 @@
 import logging
 import math
 
-from aiohttp import web
-
 from onyxfork.direct.configuration import QueueTable, RequestLimits
 from onyxfork.direct.requests import COMPLETED, FAILED, REFUSED
 from onyxfork.platform.configuration import decode_configuration
-from onyxfork.platform.http import json_response
+from onyxfork.platform.http import Response, json_response
 from onyxfork.platform.jobs import UNSUPPORTED, decode_job, is_job_id
 
 __all__ = ["CallerHandler"]
@@ -54,7 +52,7 @@
 
     async def handle_ready(self, _):
         """Respond to a readiness check: 200 if the entry accepts new connections, 503 if not."""
-        return web.Response(status=200 if self.entry.is_ready else 503)
+        return Response(200 if self.entry.is_ready else 503)
 
     async def handle(self, request):
         """Respond to a caller's request.
@@ -63,7 +61,7 @@
         """
         response = await self.route_request(request)
         if self.entry.stop_started_at is not None:
-            response.force_close()
+            response.close = True
         return response
 
     async def route_request(self, request):
@@ -88,11 +86,8 @@
 
     async def run_job(self, request, queue, job_id):
         """Run a job and respond with its outcome."""
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            body = None
-        if body is None or len(body) > self.limits.body_bytes:
+        body = request.body
+        if len(body) > self.limits.body_bytes:
             return json_response(413, {"error": f"body over {self.limits.body_bytes} bytes"})
         decoded = decode_job(job_id, queue, body, request.headers.get(DEADLINE_HEADER))
         if decoded.is_err():
--- a/onyxfork/platform/operators.py
+++ b/onyxfork/platform/operators.py
@@ -3,10 +3,8 @@
 import json
 import logging
 
-from aiohttp import web
-
 from onyxfork.platform.configuration import decode_configuration
-from onyxfork.platform.http import json_response
+from onyxfork.platform.http import Response, json_response
 
 __all__ = ["OperatorHandler"]
 
@@ -40,7 +38,7 @@
         A document that cannot be decoded is refused with 400. 503 means that the outcome is
         unknown; sending the same version again is idempotent.
         """
-        body = await request.read()
+        body = request.body
         decoded = decode_configuration(body)
         if decoded.is_err():
             log.info("configuration refused", extra={"reason": decoded.err_value})
@@ -58,4 +56,4 @@
         document = await self.replica.read_document()
         if document is None:
             return json_response(503, {"error": "cannot confirm which configuration is the newest"})
-        return web.Response(body=document.body, content_type="application/json")
+        return Response(body=document.body)
--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -12,7 +12,7 @@
 from onyxfork.direct.telemetry import Telemetry
 from onyxfork.errors import OnyxforkError, SettingsError
 from onyxfork.logs import start_rate_limited_logging
-from onyxfork.platform.http import json_response, run_server
+from onyxfork.platform.http import Response, json_response, run_server
 from onyxfork.platform.settings import (
     AGENT_PORT,
     ENTRY_PORT,
@@ -135,10 +135,8 @@
     async def handle(request):
         if request.path != "/metrics":
             return json_response(404, {"error": "no such resource"})
-        from aiohttp import web
-
         body, content_type = telemetry.render()
-        return web.Response(body=body, headers={"Content-Type": content_type})
+        return Response(body=body, content_type=content_type)
 
     try:
         async with run_server(handle, Address(settings.host, METRICS_PORT)):
--- a/onyxfork/platform/reports.py
+++ b/onyxfork/platform/reports.py
@@ -76,7 +76,7 @@
         if request.method != "PUT":
             return json_response(405, {"error": "expected PUT or DELETE"})
         try:
-            worker = decode_report(worker_id, await request.read())
+            worker = decode_report(worker_id, request.body)
         except FieldError as error:
             log.warning(
                 "report cannot be decoded", extra={"worker": worker_id, "reason": str(error)}
--- a/onyxfork/platform/standin/worker.py
+++ b/onyxfork/platform/standin/worker.py
@@ -308,7 +308,7 @@
             return json_response(503, {})
         if request.headers.get("X-Expect-Instance", worker.id) != worker.id:
             return json_response(421, {})
-        body = json.loads(await request.read())
+        body = json.loads(request.body)
         if request.path == "/hold":
             return self.answer(*await worker.renew_lease(body))
         if request.path == "/run-stop":
--- a/onyxfork/platform/workers.py
+++ b/onyxfork/platform/workers.py
@@ -5,11 +5,10 @@
 import logging
 from contextlib import asynccontextmanager
 
-import aiohttp
-
 from onyxfork.direct.messages import TaskRef
 from onyxfork.direct.worker_client import LeaseReply, Reply, WorkerClient
 from onyxfork.platform.fields import FieldError, read_integer, read_list, read_object
+from onyxfork.platform.http_client import open_pool
 
 __all__ = ["HttpWorkerClient", "open_worker_client"]
 
@@ -85,17 +84,12 @@
 
     Parameters
     ----------
-    address : Address
-    session : aiohttp.ClientSession
-        Reuses open connections.
-    fresh_session : aiohttp.ClientSession
-        Opens a new connection for each call.
+    pool : HttpPool
+        Connections to the worker.
     """
 
-    def __init__(self, address, session, fresh_session):
-        self.base_url = f"http://{address}"
-        self.session = session
-        self.fresh_session = fresh_session
+    def __init__(self, pool):
+        self.pool = pool
 
     async def start(self, worker, order, until_ms, token, timeout_s):
         body = {
@@ -125,16 +119,14 @@
 
         A timeout or a connection error gives a reply whose answer is ``unanswered``.
         """
-        session = self.fresh_session if fresh else self.session
         # X-Expect-Instance: a worker with another identifier responds with 421.
-        headers = {"X-Expect-Instance": worker.id, "Content-Type": "application/json"}
+        headers = {"X-Expect-Instance": worker.id}
         try:
             async with asyncio.timeout(timeout_s):
-                async with session.post(
-                    self.base_url + path, data=json.dumps(body).encode(), headers=headers
-                ) as response:
-                    status, response_body = response.status, await response.read()
-        except (TimeoutError, OSError, aiohttp.ClientError) as error:
+                status, response_body = await self.pool.post(
+                    path, json.dumps(body).encode(), headers, fresh
+                )
+        except (TimeoutError, OSError) as error:
             log.debug("worker call failed", extra={"call": path, "reason": repr(error)})
             return reply_type("unanswered")
         return decode_reply(reply_type, status, response_body)
@@ -170,11 +162,5 @@
 @asynccontextmanager
 async def open_worker_client(address):
     """Yield a client for the worker at an address."""
-    reusing = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, keepalive_timeout=60.0)
-    closing = aiohttp.TCPConnector(limit=8, force_close=True)
-    cookie_jar = aiohttp.DummyCookieJar()
-    async with (
-        aiohttp.ClientSession(connector=reusing, cookie_jar=cookie_jar) as session,
-        aiohttp.ClientSession(connector=closing, cookie_jar=cookie_jar) as fresh_session,
-    ):
-        yield HttpWorkerClient(address, session, fresh_session)
+    async with open_pool(address, MAX_CONNECTIONS) as pool:
+        yield HttpWorkerClient(pool)
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -9,7 +9,6 @@
 from types import SimpleNamespace
 
 import aiohttp
-from aiohttp import web
 
 sys.path.insert(0, str(Path(__file__).parents[1] / "direct"))
 from builders import make_order, make_worker  # noqa: E402
@@ -18,7 +17,7 @@
 from onyxfork.direct.messages import ConfigurationDocument, TaskRef  # noqa: E402
 from onyxfork.direct.requests import JobOutcome  # noqa: E402
 from onyxfork.platform.callers import CallerHandler  # noqa: E402
-from onyxfork.platform.http import json_response, run_server  # noqa: E402
+from onyxfork.platform.http import Response, json_response, run_server  # noqa: E402
 from onyxfork.platform.operators import OperatorHandler  # noqa: E402
 from onyxfork.platform.reports import ReportHandler  # noqa: E402
 from onyxfork.platform.workers import open_worker_client  # noqa: E402
@@ -153,7 +152,7 @@
     calls = []
 
     async def handle(request):
-        body = json.loads(await request.read())
+        body = json.loads(request.body)
         calls.append((request.path, body, request.headers["X-Expect-Instance"]))
         if request.path == "/run-start":
             reason = "room" if body["task"].endswith("1") else "fence"
@@ -191,7 +190,7 @@
         assert reply.answer == "unanswered"
 
     async def handle(_):
-        return web.Response(body=b"{{")
+        return Response(body=b"{{")
 
     address = free_address()
     async with run_server(handle, address), open_worker_client(address) as client:
--- /dev/null
+++ b/tests/platform/test_http_protocol.py
@@ -0,0 +1,163 @@
+"""The HTTP server and client on raw connections: malformed input, limits, order, reuse."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+
+from onyxfork.addresses import Address
+from onyxfork.platform.http import MAX_HEADER_BYTES, Response, run_server
+from onyxfork.platform.http_client import open_pool
+
+TIMEOUT_S = 10.0
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", probe.getsockname()[1])
+
+
+async def echo(request):
+    if request.path == "/fail":
+        raise ValueError("planted")
+    return Response(body=request.method.encode() + b" " + request.path.encode() + request.body)
+
+
+@asynccontextmanager
+async def raw_connection(handler=echo, **options):
+    """Serve a handler and yield reader and writer of a connection to it."""
+    address = free_address()
+    async with run_server(handler, address, **options):
+        reader, writer = await asyncio.open_connection(*address.host_and_port)
+        try:
+            yield reader, writer
+        finally:
+            writer.close()
+
+
+async def read_response(reader):
+    """Return status, header fields and body of the next response."""
+    async with asyncio.timeout(TIMEOUT_S):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        status = int(head.split()[1])
+        fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:-2])
+        return status, fields, await reader.readexactly(int(fields["Content-Length"]))
+
+
+async def test_pipelined_requests_are_answered_in_order():
+    async with raw_connection() as (reader, writer):
+        for number in range(40):
+            writer.write(f"GET /{number} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+        bodies = [(await read_response(reader))[2] for _ in range(40)]
+    assert bodies == [f"GET /{number}".encode() for number in range(40)]
+
+
+async def test_request_split_into_single_bytes_and_chunks_is_read():
+    request = b"POST /a?x=1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    async with raw_connection() as (reader, writer):
+        for byte in request + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n":
+            writer.write(bytes([byte]))
+            await writer.drain()
+        assert (await read_response(reader))[2] == b"POST /aabcde"
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (b"\x00\xff\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nA: " + b"a" * (MAX_HEADER_BYTES + 1) + b"\r\n\r\n", 431),
+        (b"GET / HTTP/1.1\r\nA: " + b"a" * (MAX_HEADER_BYTES + 1), 431),
+        (b"POST / HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n" + b"x" * 4500000, 413),
+    ],
+)
+async def test_malformed_or_oversized_request_gets_an_error_and_a_closed_connection(data, expected):
+    async with raw_connection() as (reader, writer):
+        writer.write(data)
+        status, fields, _ = await read_response(reader)
+        assert (status, fields["Connection"]) == (expected, "close")
+
+
+async def test_malformed_request_does_not_affect_other_connections():
+    address = free_address()
+    async with run_server(echo, address), open_pool(address, 1) as pool:
+        assert (await pool.post("/a", b"", {}))[0] == 200
+        _, writer = await asyncio.open_connection(*address.host_and_port)
+        writer.write(b"\x01\x02\x03\r\n\r\n")
+        await writer.drain()
+        assert (await pool.post("/b", b"", {}))[1] == b"POST /b"
+        writer.close()
+
+
+async def test_failing_handler_is_answered_500_and_the_connection_stays_open():
+    async with raw_connection() as (reader, writer):
+        writer.write(b"GET /fail HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\n\r\n")
+        assert (await read_response(reader))[0] == 500
+        assert (await read_response(reader))[0] == 200
+
+
+async def test_response_to_head_has_no_body():
+    async with raw_connection() as (reader, writer):
+        writer.write(b"HEAD /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"Content-Length: 7" in head
+        assert (await read_response(reader))[2] == b"GET /b"
+
+
+async def test_connection_is_closed_when_the_client_asks_for_it():
+    async with raw_connection() as (reader, writer):
+        writer.write(b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
+        assert (await read_response(reader))[1]["Connection"] == "close"
+        assert await reader.read() == b""
+
+
+async def test_idle_connection_is_closed():
+    async with raw_connection(idle_timeout_s=0.05) as (reader, _):
+        async with asyncio.timeout(TIMEOUT_S):
+            assert await reader.read() == b""
+
+
+async def test_client_reuses_its_connection_and_replaces_one_that_was_closed():
+    ports = []
+
+    async def handle(request):
+        ports.append(request.transport.get_extra_info("peername")[1])
+        return Response(close=len(ports) == 2)
+
+    address = free_address()
+    async with run_server(handle, address), open_pool(address, 4) as pool:
+        for _ in range(3):
+            await pool.post("/", b"", {})
+        await pool.post("/", b"", {}, fresh=True)
+    assert ports[0] == ports[1] and len(set(ports)) == 3
+
+
+async def test_request_that_times_out_does_not_answer_the_next_one():
+    delays = [0.3, 0.0]
+
+    async def handle(request):
+        await asyncio.sleep(delays.pop(0))
+        return Response(body=request.body)
+
+    address = free_address()
+    async with run_server(handle, address), open_pool(address, 1) as pool:
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await pool.post("/", b"first", {})
+        assert await pool.post("/", b"second", {}) == (200, b"second")
+
+
+async def test_connection_that_breaks_raises_an_error():
+    async def handle(request):
+        request.transport.abort()
+        return Response()
+
+    address = free_address()
+    async with run_server(handle, address), open_pool(address, 1) as pool:
+        with pytest.raises(OSError):
+            await pool.post("/", b"", {})
+    with pytest.raises(OSError):
+        async with open_pool(free_address(), 1) as pool:
+            await pool.post("/", b"", {})
