--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -9,7 +9,7 @@
 from onyxfork.addresses import Address
 from onyxfork.direct.announcements import LostEntries
 from onyxfork.direct.answer_times import AnswerTimes
-from onyxfork.direct.arbiter import Arbiter
+from onyxfork.direct.arbiter import RESUME_TIMEOUT_S, Arbiter
 from onyxfork.direct.documents import compress_document
 from onyxfork.direct.lease import FencingToken, Lease, WorkerClock
 from onyxfork.direct.links import ControlLinks
@@ -33,7 +33,9 @@
 
 log = logging.getLogger(__name__)
 
-TICK_S = 0.05
+TICK_S = 0.1
+"""Interval of the arbiter's ticks and of the check for announcements that are due."""
+
 STATUS_DELAY_S = 0.1
 """Status changes within this delay are sent to entries as one report. The entry whose run has ended
 gets a report with the event."""
@@ -54,8 +56,8 @@
 MIN_SUSPENSION_S = 0.1
 """Shorter suspensions of the machine are ignored: the network may delay orders as much."""
 
-ANNOUNCE_CHECK_INTERVAL_S = 0.1
-"""Interval at which announcements that are due are sent."""
+RESUME_CHECK_MARGIN_S = 0.001
+"""Added to the delay after which the session of a disconnected entry is checked."""
 
 
 class DirectAgent(WorkerDriver):
@@ -224,6 +226,8 @@
             self.arbiter.disconnect(session, connection, self.clock.now())
             if session.connection is None:
                 self.lost_entries.on_disconnected(session.entry, self.clock.now())
+                delay_s = RESUME_TIMEOUT_S + RESUME_CHECK_MARGIN_S
+                asyncio.get_running_loop().call_later(delay_s, self.tick)
 
     def on_message(self, session, connection, message):
         """Process one message of an entry.
@@ -259,9 +263,15 @@
         """Call the arbiter's `tick` at a fixed interval."""
         while True:
             await asyncio.sleep(TICK_S)
-            self.detect_suspension()
-            self.arbiter.tick(self.clock.now())
-            self.apply_decisions()
+            self.tick()
+            for address in self.lost_entries.take_due(self.clock.now()):
+                self.spawn(self.announce_to_entry(address))
+
+    def tick(self):
+        """Apply the arbiter's changes that depend on time alone."""
+        self.detect_suspension()
+        self.arbiter.tick(self.clock.now())
+        self.apply_decisions()
 
     def detect_suspension(self):
         """Detect a suspension of the machine, during which the monotonic clock stops."""
@@ -272,15 +282,12 @@
             self.arbiter.record_suspension(self.clock.now())
         self.suspended_s = suspended_s
 
-    async def announce_to_lost_entries(self):
-        """Announce this agent to entries that it has lost, in case control is unavailable."""
-        while True:
-            await asyncio.sleep(ANNOUNCE_CHECK_INTERVAL_S)
-            for address in self.lost_entries.take_due(self.clock.now()):
-                self.spawn(self.announce_to_entry(address))
-
     async def announce_to_entry(self, address):
-        """Announce this agent's address to one entry over a connection of its own."""
+        """Announce this agent's address to one entry over a connection of its own.
+
+        The entry, which it was connected to before, may have restarted while control is
+        unavailable.
+        """
         settings = self.settings
         own_node = DirectoryNode(settings.node, "agent", settings.zone, str(settings.address))
         try:
@@ -329,7 +336,6 @@
         agent.spawn = spawn
         spawn(agent.keep_lease())
         spawn(agent.tick_periodically())
-        spawn(agent.announce_to_lost_entries())
         spawn(agent.control.run(spawn))
         spawn(serve_after_takeover(agent))
         agent.control.set_own_address(str(settings.address))
--- a/onyxfork/direct/links.py
+++ b/onyxfork/direct/links.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from onyxfork.addresses import Address
-from onyxfork.direct.documents import DocumentFetcher, decompress_document
+from onyxfork.direct.documents import FETCH_RETRY_S, DocumentFetcher, decompress_document
 from onyxfork.direct.messages import (
     Directory,
     DocumentAnnounced,
@@ -34,8 +34,8 @@
 """Interval at which dialers are started and cancelled to match the known control instances, and
 expired nodes are dropped."""
 
-FETCH_CHECK_INTERVAL_S = 0.1
-"""Interval at which a node checks whether a configuration that it has requested is overdue."""
+FETCH_RETRY_MARGIN_S = 0.01
+"""Added to the delay of the retry timer, so that the request is overdue when it fires."""
 
 NODE_EXPIRY_S = 30.0
 """A node is dropped if for this long no control instance has listed it and it has not announced
@@ -142,6 +142,7 @@
         self.message_counter = telemetry.make_message_counter("control")
         self.document = None
         self.fetcher = DocumentFetcher()
+        self.retry_timer = None
         self.directories = {}
         self.learned_addresses = {}
         self.connections = {}
@@ -186,7 +187,6 @@
 
     async def run(self, spawn):
         """Maintain a dialer for each control instance, and drop expired nodes, until cancelled."""
-        spawn(self.run_fetch_timer())
         while True:
             addresses = self.control_addresses()
             for address in addresses:
@@ -199,17 +199,21 @@
             self.drop_expired_nodes()
             await asyncio.sleep(DIALER_REFRESH_S)
 
-    async def run_fetch_timer(self):
-        """Retry overdue requests for a configuration."""
-        while True:
-            await asyncio.sleep(FETCH_CHECK_INTERVAL_S)
-            self.fetch_from(self.fetcher.next_retry(self.clock.now()))
+    def retry_fetch(self):
+        """Request a configuration again from another instance if the last request is overdue."""
+        self.retry_timer = None
+        self.fetch_from(self.fetcher.next_retry(self.clock.now()))
 
     def fetch_from(self, address):
         """Request the newest configuration from a control instance, if it is connected."""
         connection = self.connections.get(address)
         if connection is not None:
             connection.send(FetchDocument())
+        if self.fetcher.asked_version and self.retry_timer is None:
+            loop = asyncio.get_running_loop()
+            self.retry_timer = loop.call_later(
+                FETCH_RETRY_S + FETCH_RETRY_MARGIN_S, self.retry_fetch
+            )
 
     def control_addresses(self):
         """Return the addresses of control instances, from the settings and from directories."""
@@ -240,6 +244,7 @@
         """Mark a control instance as disconnected."""
         self.connections.pop(address, None)
         self.fetcher.on_closed(address)
+        self.fetch_from(self.fetcher.next_retry(self.clock.now()))
         log.info("control disconnected", extra={"control": address, "reason": reason})
 
     def on_control_message(self, address, message):
--- a/onyxfork/direct/settings.py
+++ b/onyxfork/direct/settings.py
@@ -9,9 +9,10 @@
 
 __all__ = ["DirectSettings", "NODE_TIMING", "CONTROL_TIMING"]
 
-NODE_TIMING = Timing(heartbeat_s=0.2, suspect_s=0.45, silent_s=0.7, connect_s=0.25)
-"""A connection is closed after 0.7 s of silence: a caller retries a job 1.3 s after its connection
-has broken, and by then an agent must have stopped the runs of a lost entry."""
+NODE_TIMING = Timing(heartbeat_s=0.2, suspect_s=0.45, silent_s=0.69, connect_s=0.25)
+"""A connection is closed after 0.7 s of silence, the time to read what has arrived included: a
+caller retries a job 1.3 s after its connection has broken, and by then an agent must have stopped
+the runs of a lost entry."""
 
 CONTROL_TIMING = Timing(heartbeat_s=0.5, suspect_s=1.0, silent_s=1.6, connect_s=0.25)
 """No job waits for control. A configuration must reach a node within 2 s after the network has
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -16,6 +16,9 @@
 """How long the worker may delay its answer to a renewal until a run ends (long polling). It also
 bounds the interval at which the agent reads the progress of runs."""
 
+IDLE_RENEWAL_WAIT_MS = 300
+"""The same while there are no runs, whose progress would have to be read."""
+
 SUSPECT_MISSED_RENEWALS = 2
 """Unanswered renewals in a row after which the worker is reported to entries as suspect."""
 
@@ -88,9 +91,9 @@
         if self.worker_clock.measured_at and not self.missed_renewals:
             until_ms = int(self.worker_clock.estimate_ms(sent_at) + self.lease.length_ms)
             self.lease.renewed_at = sent_at
-        wait_ms = (
-            RENEWAL_WAIT_MS if self.takeover_complete.is_set() and not self.missed_renewals else 0
-        )
+        wait_ms = 0
+        if self.takeover_complete.is_set() and not self.missed_renewals:
+            wait_ms = RENEWAL_WAIT_MS if self.arbiter.runs else IDLE_RENEWAL_WAIT_MS
         new_connection = self.missed_renewals > 0
         reply = await self.client.renew_lease(
             worker, until_ms, token, self.last_end, wait_ms, new_connection
--- a/onyxfork/messages/connection.py
+++ b/onyxfork/messages/connection.py
@@ -11,6 +11,7 @@
 import logging
 import struct
 from contextlib import asynccontextmanager
+from weakref import WeakKeyDictionary
 
 from attrs import define
 from transitions import Machine
@@ -28,6 +29,16 @@
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 HANDSHAKE_TIMEOUT_S = 2.0
 
+MIN_PING_SHARE = 0.75
+"""A ping is sent from this share of the heartbeat interval on, since the connections of a process
+are checked together, twice in each interval."""
+
+UNREAD_GRACE_S = 0.01
+"""A silent connection is closed after this delay, in which bytes that have arrived are read: a
+process that was stalled runs overdue timers before it reads."""
+
+SILENT = "the peer has gone silent"
+
 
 @define
 class Timing:
@@ -95,6 +106,61 @@
         return self.state
 
 
+class HeartbeatTimer:
+    """Checks the heartbeats of all connections of a process that have the same interval.
+
+    One timer for all connections wakes the process as often with hundreds of them as with one.
+
+    Parameters
+    ----------
+    loop : asyncio event loop
+    interval_s : float
+        Seconds between checks.
+    """
+
+    def __init__(self, loop, interval_s):
+        self.loop = loop
+        self.interval_s = interval_s
+        self.connections = set()
+        self.handle = None
+        self.due_at = 0.0
+
+    def add(self, connection):
+        """Check a connection until it is removed."""
+        self.connections.add(connection)
+        if self.handle is None:
+            self.schedule()
+
+    def remove(self, connection):
+        """Stop checking a connection."""
+        self.connections.discard(connection)
+
+    def schedule(self):
+        """Schedule the next check."""
+        self.due_at = self.loop.time() + self.interval_s
+        self.handle = self.loop.call_at(self.due_at, self.check)
+
+    def check(self):
+        """Check all connections, and schedule the next check while there are any."""
+        self.handle = None
+        now = self.loop.time()
+        for connection in list(self.connections):
+            connection.check_heartbeat(now, now - self.due_at)
+        if self.connections:
+            self.schedule()
+
+
+heartbeat_timers = WeakKeyDictionary()
+
+
+def heartbeat_timer(loop, heartbeat_s):
+    """Return the `HeartbeatTimer` of an event loop for a heartbeat interval."""
+    timers = heartbeat_timers.setdefault(loop, {})
+    if heartbeat_s not in timers:
+        timers[heartbeat_s] = HeartbeatTimer(loop, heartbeat_s / 2)
+    return timers[heartbeat_s]
+
+
 class Connection:
     """An open connection after its handshake.
 
@@ -129,6 +195,7 @@
         self.close_reason = None
         self.last_sent_at = self.loop.time()
         self.liveness = Liveness(timing, self.loop.time())
+        self.silence_timer = None
         self.peer_clock = peer.clock
         self.latest_echo = 0.0
 
@@ -191,7 +258,8 @@
         str
             Why the connection was closed.
         """
-        keep_alive_task = self.loop.create_task(self.keep_alive())
+        heartbeats = heartbeat_timer(self.loop, self.timing.heartbeat_s)
+        heartbeats.add(self)
         try:
             while self.is_open:
                 for item in await self.read_frame():
@@ -210,7 +278,9 @@
             self.flush()
             self.close("a message could not be processed")
         finally:
-            keep_alive_task.cancel()
+            heartbeats.remove(self)
+            if self.silence_timer is not None:
+                self.silence_timer.cancel()
             self.close("closed")
         return self.close_reason
 
@@ -230,26 +300,34 @@
                 self.latest_echo = echo
         return items
 
-    async def keep_alive(self):
-        """Send pings when idle, and close the connection when the peer is silent.
+    def check_heartbeat(self, now, stalled_s):
+        """Send a ping when idle, and close the connection when the peer is silent.
 
-        When this process itself was stalled for longer than the suspect timeout, that time does not
-        count as silence of the peer.
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        stalled_s : float
+            How long this process itself was stalled; if longer than the suspect timeout, that time
+            does not count as silence of the peer.
         """
-        check_s = self.timing.heartbeat_s / 2
-        while self.is_open:
-            sleep_started_at = self.loop.time()
-            ping_at = self.last_sent_at + self.timing.heartbeat_s
-            pause_s = min(check_s, max(0.0, ping_at - sleep_started_at))
-            await asyncio.sleep(pause_s)
-            now = self.loop.time()
-            if now - sleep_started_at - pause_s > self.timing.suspect_s:
-                self.liveness.last_arrival_at += now - sleep_started_at - pause_s
-            if now >= self.last_sent_at + self.timing.heartbeat_s:
-                self.last_sent_at = now
-                self.send(Ping(clock=now, echo=self.peer_clock))
-            if self.liveness.check(now) == "silent":
-                self.close("the peer has gone silent")
+        timing = self.timing
+        if stalled_s > timing.suspect_s:
+            self.liveness.last_arrival_at += stalled_s
+        if now >= self.last_sent_at + timing.heartbeat_s * MIN_PING_SHARE:
+            self.last_sent_at = now
+            self.send(Ping(clock=now, echo=self.peer_clock))
+        remaining_s = self.liveness.last_arrival_at + timing.silent_s - now
+        if remaining_s < timing.heartbeat_s and self.silence_timer is None:
+            delay_s = max(0.0, remaining_s) + UNREAD_GRACE_S
+            self.silence_timer = self.loop.call_later(delay_s, self.close_if_silent)
+
+    def close_if_silent(self):
+        """Close the connection if the peer is still silent; what has arrived was read before."""
+        self.silence_timer = None
+        now = self.loop.time()
+        if self.is_open and self.liveness.check(now) == "silent":
+            self.close(SILENT)
 
     def close(self, reason):
         """Close the connection; the reason of the first call is kept.
@@ -260,7 +338,7 @@
             return
         self.close_reason = reason
         self.closed.set()
-        if reason == "the peer has gone silent":
+        if reason == SILENT:
             self.writer.transport.abort()
         else:
             self.writer.close()
