--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -27,7 +27,7 @@
 from onyxfork.direct.worker_driver import WorkerDriver
 from onyxfork.errors import OnyxforkError, ProtocolError
 from onyxfork.messages import open_connection, serve
-from onyxfork.utils import owned_tasks
+from onyxfork.utils import logged_failures, owned_tasks
 
 __all__ = ["DirectAgent", "run_agent"]
 
@@ -56,6 +56,9 @@
 MIN_SUSPENSION_S = 0.1
 """Shorter suspensions of the machine are ignored: the network may delay orders as much."""
 
+LISTEN_RETRY_S = 0.5
+"""Pause before another attempt to listen, for instance while a former process still ends."""
+
 RESUME_CHECK_MARGIN_S = 0.001
 """Added to the delay after which the session of a disconnected entry is checked."""
 
@@ -80,6 +83,8 @@
         Entries that have lost their connection to this agent.
     takeover_complete : asyncio.Event
         Set once the worker runs nothing that an earlier agent ordered.
+    port : int or None
+        Port at which entries are accepted, None before that.
     status_timer : asyncio.TimerHandle or None
         Timer of the next status report.
     reported_state : str
@@ -100,6 +105,7 @@
         self.missed_renewals = 0
         self.takeover_complete = asyncio.Event()
         self.worker_known = asyncio.Event()
+        self.port = None
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
         self.lost_entries = LostEntries()
         self.stopping = False
@@ -263,9 +269,10 @@
         """Call the arbiter's `tick` at a fixed interval."""
         while True:
             await asyncio.sleep(TICK_S)
-            self.tick()
-            for address in self.lost_entries.take_due(self.clock.now()):
-                self.spawn(self.announce_to_entry(address))
+            with logged_failures(log, "tick failed"):
+                self.tick()
+                for address in self.lost_entries.take_due(self.clock.now()):
+                    self.spawn(self.announce_to_entry(address))
 
     def tick(self):
         """Apply the arbiter's changes that depend on time alone."""
@@ -348,7 +355,13 @@
     await agent.takeover_complete.wait()
     log.info("worker takeover complete", extra={"token": agent.token.value})
     counter = agent.telemetry.make_message_counter("entry")
-    async with serve(
-        listen.host, listen.port, agent.hello, agent.settings.timing, agent.accept, counter
-    ):
-        await asyncio.Event().wait()
+    while True:
+        try:
+            async with serve(
+                listen.host, listen.port, agent.hello, agent.settings.timing, agent.accept, counter
+            ) as port:
+                agent.port = port
+                await asyncio.Event().wait()
+        except OSError as error:
+            log.error("cannot listen", extra={"address": str(listen), "reason": str(error)})
+            await asyncio.sleep(LISTEN_RETRY_S)
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -24,7 +24,7 @@
 from onyxfork.direct.requests import REFUSED, JobOutcome
 from onyxfork.errors import ProtocolError
 from onyxfork.messages import serve
-from onyxfork.utils import owned_tasks
+from onyxfork.utils import logged_failures, owned_tasks
 
 __all__ = ["DirectEntry", "run_entry"]
 
@@ -339,12 +339,16 @@
         """Call the dispatcher's tick periodically."""
         while True:
             await asyncio.sleep(TICK_S)
-            now = self.clock.now()
-            self.dispatcher.tick(now)
-            self.flush()
-            if now >= self.subset_review_at:
-                self.subset_review_at = now + SUBSET_INTERVAL_S
-                self.review_subset(now)
+            with logged_failures(log, "tick failed"):
+                self.tick(self.clock.now())
+
+    def tick(self, now):
+        """Apply the changes that depend on time alone."""
+        self.dispatcher.tick(now)
+        self.flush()
+        if now >= self.subset_review_at:
+            self.subset_review_at = now + SUBSET_INTERVAL_S
+            self.review_subset(now)
 
     def review_subset(self, now):
         """Ask control for more agents where capacity is short, and an agent for a configuration.
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -7,6 +7,7 @@
 import logging
 
 from onyxfork.direct.lease import WorkerClock
+from onyxfork.utils import logged_failures
 
 __all__ = ["WorkerDriver", "task_name"]
 
@@ -78,7 +79,10 @@
                 self.worker_known.clear()
                 await self.worker_known.wait()
                 continue
-            if not await self.renew_lease(worker):
+            renewed = False
+            with logged_failures(log, "renewal of the lease failed"):
+                renewed = await self.renew_lease(worker)
+            if not renewed:
                 await asyncio.sleep(RETRY_DELAY_S)
 
     async def renew_lease(self, worker):
--- a/onyxfork/utils/tasks.py
+++ b/onyxfork/utils/tasks.py
@@ -1,9 +1,25 @@
-"""Ownership of asyncio tasks by a context manager."""
+"""Ownership of asyncio tasks, and steps of endless loops that may fail."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 
-__all__ = ["owned_tasks"]
+__all__ = ["logged_failures", "owned_tasks"]
+
+
+@contextmanager
+def logged_failures(log, what):
+    """Log an unexpected exception and continue after the block; for the steps of endless loops.
+
+    Parameters
+    ----------
+    log : logging.Logger
+    what : str
+        What failed, for the log line.
+    """
+    try:
+        yield
+    except Exception:
+        log.exception(what)
 
 
 @asynccontextmanager
--- a/tests/direct/test_late_permissions.py
+++ b/tests/direct/test_late_permissions.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 import sys
 from pathlib import Path
 
@@ -19,9 +20,13 @@
     take_orders,
 )
 from test_arbiter import kinds, make_arbiter, start_all  # noqa: E402
-from test_path import StandInWorker, run_path, until  # noqa: E402
+from test_path import StandInWorker, make_settings, run_path, until  # noqa: E402
 
+from onyxfork.addresses import Address  # noqa: E402
+from onyxfork.direct.agent import DirectAgent, run_agent  # noqa: E402
 from onyxfork.direct.messages import TaskEvents  # noqa: E402
+from onyxfork.direct.telemetry import Telemetry  # noqa: E402
+from onyxfork.utils import SystemClock  # noqa: E402
 
 
 def test_late_report_of_a_worker_that_has_left_is_ignored():
@@ -145,3 +150,43 @@
         await until(lambda: agent.arbiter.sessions["e1"].connection not in (first, None))
         async with asyncio.timeout(5.0):
             assert (await job).state == "completed"
+
+
+async def test_unexpected_error_in_a_loop_does_not_end_it():
+    """A planted error in each of the endless loops; jobs are served afterwards."""
+    worker = StandInWorker(run_s=0.02)
+    async with run_path(worker) as (entry, agent):
+        failures = []
+
+        def fail_once(owner, name):
+            original = getattr(owner, name)
+
+            def planted(*arguments):
+                setattr(owner, name, original)
+                failures.append(name)
+                raise KeyError("planted")
+
+            setattr(owner, name, planted)
+
+        fail_once(entry.dispatcher, "tick")
+        fail_once(agent.arbiter, "tick")
+        fail_once(agent, "apply_lists")
+        await until(lambda: len(failures) == 3)
+        async with asyncio.timeout(5.0):
+            assert (await entry.run_job(make_request(tasks=2, ms=5000.0))).state == "completed"
+
+
+async def test_agent_listens_once_its_address_is_free():
+    """A former process at the address has not ended yet."""
+    worker = StandInWorker()
+    settings = make_settings("s1")
+    with socket.create_server(("127.0.0.1", 0)) as former:
+        settings.listen = Address(*former.getsockname())
+        agent = DirectAgent(settings, worker, SystemClock(), Telemetry("agent", "s1", "a"))
+        async with run_agent(agent):
+            agent.on_worker_report(make_worker())
+            await agent.takeover_complete.wait()
+            await asyncio.sleep(0.05)
+            assert agent.port is None
+            former.close()
+            await until(lambda: agent.port == settings.listen.port)
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -71,14 +71,6 @@
     return DirectSettings(node, "a", "test", Address("127.0.0.1", 0), [], drain_s=0.2)
 
 
-async def free_port():
-    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    server.close()
-    await server.wait_closed()
-    return port
-
-
 async def until(condition):
     async with asyncio.timeout(TIMEOUT_S):
         while not condition():
@@ -89,13 +81,13 @@
 async def run_path(worker):
     """Yield an entry that is connected to the agent of a worker."""
     agent_settings, entry_settings = make_settings("s1"), make_settings("e1")
-    agent_settings.listen = Address("127.0.0.1", await free_port())
     telemetry = Telemetry("test", "n", "a")
     agent = DirectAgent(agent_settings, worker, SystemClock(), telemetry)
     entry = DirectEntry(entry_settings, SystemClock(), telemetry)
     async with run_agent(agent), run_entry(entry):
         agent.on_worker_report(make_worker())
-        node = DirectoryNode("s1", "agent", "a", str(agent_settings.listen))
+        await until(lambda: agent.port)
+        node = DirectoryNode("s1", "agent", "a", f"127.0.0.1:{agent.port}")
         entry.control.add_announced_node(node)
         entry.control.adopt_document(ConfigurationDocument(1, b"{}"), "test")
         await until(lambda: entry.is_ready)
