--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -50,6 +50,12 @@
 RAFT_MESSAGES = (VoteRequest, VoteReply, Append, AppendReply, InstallSnapshot, TimeoutNow)
 LOG_TIME_INTERVAL_S = 10.0
 
+DISK_FULL_RETRY_S = 0.25
+"""Pause between attempts to write to a full disk."""
+
+COMPACTION_RETRY_S = 5.0
+"""Pause before another attempt to write a snapshot to a full disk."""
+
 
 class Replica(Requests, Peers):
     """A control instance.
@@ -73,6 +79,8 @@
         Maps the number of a request forwarded to the leader to the connection and the future.
     fatal_reason : str or None
         Reason of a disk failure, or None; ends the driver once it is set.
+    next_compaction_at : float
+        Monotonic seconds before which no snapshot is written, after one met a full disk.
     spawn : callable
         Starts a task that ends with :func:`run_replica`.
     """
@@ -112,6 +120,7 @@
         self.announcements = {}
         self.port = None
         self.fatal_reason = None
+        self.next_compaction_at = float("-inf")
         self.stopping = False
         self.spawn = None
 
@@ -203,7 +212,6 @@
 
     async def make_durable(self, ready):
         """Write and sync hard state, entries or snapshot; return whether that succeeded."""
-        loop = asyncio.get_running_loop()
         if ready.snapshot is not None:
             snapshot = ready.snapshot
             hard_state = (self.raft.term, self.raft.vote)
@@ -215,11 +223,10 @@
                 hard_state,
                 [],
             )
-            work = loop.run_in_executor(self.executor, self.storage.save_snapshot, *arguments)
+            result = await self.write_when_possible(self.storage.save_snapshot, *arguments)
         else:
             arguments = (ready.hard_state, ready.entries)
-            work = loop.run_in_executor(self.executor, self.storage.write, *arguments)
-        result = await work
+            result = await self.write_when_possible(self.storage.write, *arguments)
         if result.is_err():
             self.fatal_reason = f"{self.storage.folder}: {result.err_value}"
             log.error(
@@ -232,6 +239,26 @@
             self.raft.mark_durable(last.index, last.term, self.clock.now())
         return True
 
+    async def write_when_possible(self, write, *arguments):
+        """Write to the disk; while it is full, try again until there is room.
+
+        Meanwhile the driver sends nothing: this instance acknowledges no entry, and if it leads,
+        the others elect another leader.
+        """
+        loop = asyncio.get_running_loop()
+        was_full = False
+        while True:
+            result = await loop.run_in_executor(self.executor, write, *arguments)
+            if result.is_ok() or not self.storage.is_full:
+                break
+            if not was_full:
+                log.error("disk is full; waiting for room", extra={"reason": result.err_value})
+            was_full = True
+            await asyncio.sleep(DISK_FULL_RETRY_S)
+        if was_full and result.is_ok():
+            log.warning("disk has room again")
+        return result
+
     def apply(self, entry):
         """Apply one committed entry and complete the proposal that waits for it.
 
@@ -254,7 +281,8 @@
         """Write a snapshot of the applied state and drop the log up to it."""
         index = self.state.applied
         term = self.raft.log.term_at(index)
-        if term is None or index <= self.raft.log.base_index:
+        now = self.clock.now()
+        if term is None or index <= self.raft.log.base_index or now < self.next_compaction_at:
             return
         body = self.state.to_snapshot()
         members = self.raft.compact(index)
@@ -265,7 +293,12 @@
         work = loop.run_in_executor(self.executor, self.storage.save_snapshot, *arguments)
         result = await work
         if result.is_err():
-            self.fatal_reason = f"{self.storage.folder}: {result.err_value}"
+            if self.storage.is_full:
+                log.error("no snapshot: disk is full", extra={"reason": result.err_value})
+                self.next_compaction_at = now + COMPACTION_RETRY_S
+            else:
+                self.fatal_reason = f"{self.storage.folder}: {result.err_value}"
+            return
         for last in remaining_entries[-1:]:
             self.raft.mark_durable(last.index, last.term, self.clock.now())
         log.info("snapshot written", extra={"index": index, "bytes": len(body)})
--- a/onyxfork/control/storage.py
+++ b/onyxfork/control/storage.py
@@ -7,6 +7,7 @@
 truncated. A damaged record that is followed by valid ones is an error.
 """
 
+import errno
 import os
 import struct
 import uuid
@@ -28,6 +29,8 @@
 RECORD_MAGIC = b"OxF1"
 RECORD_HEADER = struct.Struct(">4sII")
 MAX_RECORD_BYTES = 256 * 1024 * 1024
+NO_SPACE_ERRORS = (errno.ENOSPC, errno.EDQUOT)
+
 ENTRY_RECORD = 1
 HARD_STATE_RECORD = 2
 
@@ -79,7 +82,10 @@
     log_bytes : int
         Length of the log file.
     failure : str or None
-        First write error; nothing is written after it.
+        First write error other than a full disk; nothing is written after it.
+    is_full : bool
+        Whether the latest write failed because the disk is full. It has left no trace, and may be
+        tried again.
     """
 
     folder: Path
@@ -88,6 +94,7 @@
     log_path: Path
     log_bytes: int = 0
     failure: str | None = field(default=None)
+    is_full: bool = False
 
     def write(self, hard_state, entries):
         """Append hard state and entries to the log file and sync it.
@@ -102,7 +109,8 @@
         Returns
         -------
         Result
-            ``Ok(bytes written)`` or ``Err(reason)``; every write after an error fails, too.
+            ``Ok(bytes written)`` or ``Err(reason)``; every write after an error fails, too,
+            unless the error was a full disk.
         """
         records = []
         if hard_state is not None:
@@ -116,16 +124,33 @@
             return Err(self.failure)
         try:
             write_all(self.log_file, data)
+        except OSError as error:
+            reason = f"{self.log_path.name}: {error.strerror}"
+            self.is_full = error.errno in NO_SPACE_ERRORS and self.remove_partial_write()
+            self.failure = None if self.is_full else reason
+            return Err(reason)
+        try:
             os.fsync(self.log_file.fileno())
         except OSError as error:
             self.failure = f"{self.log_path.name}: {error.strerror}"
             return Err(self.failure)
+        self.is_full = False
         self.log_bytes += len(data)
         return Ok(len(data))
 
+    def remove_partial_write(self):
+        """Remove the rest of a failed write from the log; return whether that succeeded."""
+        try:
+            os.ftruncate(self.log_file.fileno(), self.log_bytes)
+        except OSError:
+            return False
+        return True
+
     def save_snapshot(self, index, term, members, state, hard_state, entries):
         """Write a snapshot and a new log file with the entries after it; delete the old files.
 
+        If the disk is full, the old files stay in use.
+
         Parameters
         ----------
         index, term : int
@@ -145,21 +170,28 @@
         if self.failure is not None:
             return Err(self.failure)
         old_log, old_snapshots = self.log_path, list(self.folder.glob("snapshot-*"))
+        snapshot_path = self.folder / f"snapshot-{index:020d}"
+        log_path = self.folder / f"log-{index:020d}"
         try:
             body = encode_record([index, term, unstructure(members), state])
-            write_file(self.folder / f"snapshot-{index:020d}", body)
-            self.log_file.close()
-            self.log_path = self.folder / f"log-{index:020d}"
+            write_file(snapshot_path, body)
             records = [encode_record([HARD_STATE_RECORD, *hard_state])]
             records += [encode_record([ENTRY_RECORD, *unstructure(entry)]) for entry in entries]
-            write_file(self.log_path, b"".join(records))
+            write_file(log_path, b"".join(records))
+            self.log_file.close()
+            self.log_path = log_path
             self.log_file = open(self.log_path, "ab", buffering=0)
         except OSError as error:
-            self.failure = f"snapshot {index}: {error.strerror}"
-            return Err(self.failure)
+            reason = f"snapshot {index}: {error.strerror}"
+            if error.errno in NO_SPACE_ERRORS and self.log_path != log_path:
+                self.is_full = True
+            else:
+                self.failure = reason
+            return Err(reason)
+        self.is_full = False
         self.log_bytes = self.log_path.stat().st_size
         for path in [old_log, *old_snapshots]:
-            if path not in (self.log_path, self.folder / f"snapshot-{index:020d}"):
+            if path not in (self.log_path, snapshot_path):
                 path.unlink(missing_ok=True)
         return Ok(index)
 
@@ -174,9 +206,13 @@
 def write_file(path, data):
     """Write a file atomically: write and sync a temporary file, rename it, sync the folder."""
     temporary = path.with_suffix(".tmp")
-    with open(temporary, "wb", buffering=0) as file:
-        write_all(file, data)
-        os.fsync(file.fileno())
+    try:
+        with open(temporary, "wb", buffering=0) as file:
+            write_all(file, data)
+            os.fsync(file.fileno())
+    except OSError:
+        temporary.unlink(missing_ok=True)
+        raise
     temporary.rename(path)
     sync_folder(path.parent)
 
--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -108,6 +108,7 @@
         own_settings.data_folder, own_settings.cluster, own_settings.node, identity, members
     )
     with storage_context as storage:
+        telemetry.gauge("disk_full", lambda: int(storage.is_full))
         replica = DocumentReplica.from_config(own_settings, storage, telemetry)
         async with run_replica(replica) as driver:
             driver.add_done_callback(exit_on_failure)
