--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -249,13 +249,18 @@
 
 
 def bench_capacity(
-    *, json: Path | None = None, page: Path | None = None, slopes: Path | None = None
+    *,
+    json: Path | None = None,
+    page: Path | None = None,
+    slopes: Path | None = None,
+    sweep: Path | None = None,
 ):
     """Measure the slopes from which docs/CAPACITY.md is calculated.
 
     :param json: output file for the slopes
     :param page: output file for the page
     :param slopes: file with slopes measured earlier, to write the page without measuring again
+    :param sweep: file with a sweep of the users' platform over fleet sizes, for the page
     """
     from onyxfork.workload.bench_capacity import run_bench_capacity
     from onyxfork.workload.capacity_page import write_page
@@ -264,7 +269,7 @@
     if json is not None:
         json.write_text(dumps(measured, indent=2) + "\n")
     if page is not None:
-        write_page(measured, page)
+        write_page(measured, page, sweep=sweep)
 
 
 def soak(
--- a/onyxfork/workload/capacity_page.py
+++ b/onyxfork/workload/capacity_page.py
@@ -3,11 +3,12 @@
 from tabulate import tabulate
 
 from onyxfork.workload.capacity_rows import DesignSize, calculate_rows
+from onyxfork.workload.platform_sweep import sweep_lines
 
 __all__ = ["write_page"]
 
 
-def write_page(measured, path, size=None):
+def write_page(measured, path, size=None, sweep=None):
     """Write the capacity page.
 
     Parameters
@@ -16,6 +17,8 @@
         From :func:`onyxfork.workload.bench_capacity.run_bench_capacity`.
     path : pathlib.Path
     size : DesignSize, optional
+    sweep : pathlib.Path, optional
+        Sweep of the users' platform over fleet sizes.
     """
     size = size or DesignSize()
     rows = calculate_rows(measured, size)
@@ -26,7 +29,8 @@
         "",
         describe_size(size),
         "",
-        "## Bounds that are not met",
+        *(sweep_lines(sweep) if sweep is not None else []),
+        "## Bounds that are not met by the cell-based deployment",
         "",
         *unmet_bound_lines(rows),
         "",
