--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -12,6 +12,7 @@
     "MIN_RETRY_AFTER_MS",
     "MAX_SLACK_SHARE",
     "MAX_SLACK_SHARE_AT_STARTUP",
+    "Capacity",
     "Refusal",
     "predicted_wait_s",
     "check_admission",
@@ -37,50 +38,72 @@
     retry_after_ms: float = MIN_RETRY_AFTER_MS
 
 
-def predicted_wait_s(job, waiting, millicores):
+@define(slots=True)
+class Capacity:
+    """What an entry can use, in thousandths of a core.
+
+    Parameters
+    ----------
+    running : float
+        Used by this entry's runs that have started, or are about to.
+    free : float
+        Free now, counted in whole tasks of the job's size on the workers that such a task fits.
+    mean_run_ms : float
+        Mean expected run time of the tasks that use `running`.
+    """
+
+    running: float
+    free: float
+    mean_run_ms: float
+
+
+def predicted_wait_s(job, waiting, capacity):
     """Return the expected wait until the last task of a job starts, dependencies aside.
 
     Parameters
     ----------
     job : Job
     waiting : iterable of Task
-        Tasks of this entry that wait for free capacity.
-    millicores : float
-        Thousandths of a core that this entry's tasks use or could use now.
+        Tasks of this entry that wait for free capacity, here or at an agent.
+    capacity : Capacity
 
     Returns
     -------
     float
-        Seconds; 0 when nothing waits.
+        Seconds; 0 when nothing waits, or when what waits and the job fit into what is free.
 
     Notes
     -----
     Late tasks count although they start after this job's tasks: they belong to jobs that have
     already started, and as long as there are any, more work has been accepted than there is
     capacity for. A single task starts as soon as there is free capacity; the last of several also
-    waits for the others.
+    waits until runs have ended on as many cores as the job needs.
     """
     latest_start = min(job.latest_start(task) for task in job.tasks)
-    work_millicore_ms = 0.0
+    work_millicore_ms = millicores_ahead = 0.0
     for task in waiting:
         if task.job.latest_start(task) <= latest_start:
             work_millicore_ms += task.spec.cpu * task.expected_ms
-    if not work_millicore_ms:
+            millicores_ahead += task.spec.cpu
+    if not millicores_ahead:
+        return 0.0
+    own_millicores = sum(task.spec.cpu for task in job.tasks)
+    excess = millicores_ahead + own_millicores - capacity.free
+    if excess <= 0:
         return 0.0
     if len(job.tasks) > 1:
-        work_millicore_ms += sum(task.spec.cpu * task.expected_ms for task in job.tasks)
-    return work_millicore_ms / max(millicores, 1.0) / 1000
+        work_millicore_ms += capacity.mean_run_ms * min(own_millicores, excess)
+    return work_millicore_ms / max(capacity.running + capacity.free, 1.0) / 1000
 
 
-def check_admission(job, waiting, millicores, now, max_slack_share=MAX_SLACK_SHARE):
+def check_admission(job, waiting, capacity, now, max_slack_share=MAX_SLACK_SHARE):
     """Return the `Refusal` of a job, or None if it is accepted.
 
     Parameters
     ----------
     job : Job
     waiting : collection of Task
-    millicores : float
-        Thousandths of a core that this entry's tasks use or could use now.
+    capacity : Capacity
     now : float
         Monotonic seconds.
     max_slack_share : float
@@ -92,7 +115,7 @@
     """
     if not waiting:
         return None
-    wait_s = predicted_wait_s(job, waiting, millicores)
+    wait_s = predicted_wait_s(job, waiting, capacity)
     slack_s = min(job.latest_start(task) for task in job.tasks) - now
     allowed_s = max_slack_share * slack_s
     if wait_s <= allowed_s:
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -18,6 +18,7 @@
     MAX_SLACK_SHARE,
     MAX_SLACK_SHARE_AT_STARTUP,
     MIN_RETRY_AFTER_MS,
+    Capacity,
     Refusal,
     check_admission,
 )
@@ -46,9 +47,9 @@
 """If more than this share of the known agents is ready, a lack of free capacity is due to load and
 not to agents that are still reconnecting."""
 
-MAX_PLACEMENT_WAIT_S = 0.05
+MAX_PLACEMENT_WAIT_S = 0.02
 """If a task has found no worker for this long since its job arrived, the entry needs more agents;
-a busy worker ends a run every few tens of milliseconds."""
+a full subset of workers ends a run every few milliseconds."""
 
 OVERDUE_PENALTY_S = 60.0
 """Added to the heap key of a task that is late, so that it sorts after all tasks that can still be
@@ -77,6 +78,8 @@
         Waiting tasks by latest start; may also hold tasks that no longer wait.
     waiting_tasks : set of Task
         Tasks that wait for free capacity.
+    unstarted_tasks : set of Task
+        Tasks whose latest run an agent holds and has not reported as started.
     known_agent_count : int
         Agents in the directory, connected or not.
     shortages : dict of str to float
@@ -84,6 +87,8 @@
         last so (monotonic seconds); `ANY_LABEL` stands for all workers.
     millicores_in_use : int
         Thousandths of a core that are reserved by runs at agents.
+    work_in_use : float
+        The same times the expected run time of each run, in milliseconds.
     recovery_ends_at, startup_ends_at : float
         Monotonic seconds until which agents may still be connecting: after the start of the process
         or the loss of an agent, and after the start only.
@@ -107,10 +112,12 @@
         self.workers = {}
         self.waiting_heap = []
         self.waiting_tasks = set()
+        self.unstarted_tasks = set()
         self.heap_sequence = count()
         self.run_time_baseline = RunTimeBaseline()
         self.estimates = EstimateTable()
         self.millicores_in_use = 0
+        self.work_in_use = 0.0
         self.orders = {}
         self.withdrawals = {}
         self.recalls = {}
@@ -157,11 +164,39 @@
             if not can_ever_run(step, job.request.queue.service, self.workers.values()):
                 self.record_shortage(step, now)
                 return Refusal(f"step {position} fits no worker")
-        millicores = self.millicores_in_use + sum(max(0, view.cpu_free) for view in views)
+        queued = self.tasks_queued_at_agents(now)
+        capacity = Capacity(
+            self.millicores_in_use - sum(task.spec.cpu for task in queued),
+            self.free_millicores(job, views),
+            self.work_in_use / max(1, self.millicores_in_use),
+        )
         max_slack_share = (
             MAX_SLACK_SHARE if now >= self.startup_ends_at else MAX_SLACK_SHARE_AT_STARTUP
         )
-        return check_admission(job, self.waiting_tasks, millicores, now, max_slack_share)
+        backlog = [*self.waiting_tasks, *queued]
+        refusal = check_admission(job, backlog, capacity, now, max_slack_share)
+        if refusal is not None:
+            for step in job.request.steps:
+                self.record_shortage(step, now)
+        return refusal
+
+    def free_millicores(self, job, views):
+        """Return the free capacity in whole tasks of the job's largest step."""
+        step = max(job.request.steps, key=lambda step: step.cpu)
+        if not step.cpu:
+            return sum(max(0, view.cpu_free) for view in views)
+        fitting = (view.cpu_free // step.cpu for view in views if view.fits_now(step))
+        return step.cpu * sum(fitting)
+
+    def tasks_queued_at_agents(self, now):
+        """Return the tasks that wait at agents which hold more runs than fit."""
+        return [
+            task
+            for task in self.unstarted_tasks
+            if now - task.placed_at >= RECALL_AFTER_S
+            and self.workers[task.worker].is_ready
+            and self.workers[task.worker].status.cpu_free < 0
+        ]
 
     def cancel(self, job, reason):
         """Stop a job whose caller has disconnected, unless it has finished."""
@@ -250,7 +285,9 @@
         task.job.latest_worker = view.node
         view.record_order(task.spec)
         view.tasks[task.ref.key] = task
+        self.unstarted_tasks.add(task)
         self.millicores_in_use += task.spec.cpu
+        self.work_in_use += task.spec.cpu * task.expected_ms
         self.orders.setdefault(view.node, []).append(task.order(now))
 
     def withdraw(self, task):
@@ -262,9 +299,11 @@
     def remove_from_worker(self, task):
         """Remove the latest run of a task from its worker and release its reserved cores."""
         view = self.workers.get(task.worker)
+        self.unstarted_tasks.discard(task)
         if view is not None:
             view.tasks.pop(task.ref.key, None)
         self.millicores_in_use -= task.spec.cpu
+        self.work_in_use -= task.spec.cpu * task.expected_ms
 
     def recall_queued_runs(self, now):
         """Recall runs queued at overcommitted agents while others have free capacity for them."""
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -80,6 +80,7 @@
         """Mark a run as started."""
         task.may_have_started = True
         task.state, task.started_at = RUNNING, now
+        self.unstarted_tasks.discard(task)
 
     def on_done(self, task, view, event, now):
         """Mark a task as done, then finish its job or unblock the steps that depend on it."""
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -58,7 +58,7 @@
 WANTED_LABEL_RETENTION_S = 5.0
 """How long after the latest shortage the additional agents of a label stay assigned."""
 
-SUBSET_INTERVAL_S = 0.25
+SUBSET_INTERVAL_S = 0.1
 """Interval at which the requests for additional agents and for a first configuration are
 reviewed."""
 
--- /dev/null
+++ b/tests/direct/fleet.py
@@ -0,0 +1,182 @@
+"""A fleet without a network: dispatchers and arbiters that exchange messages with a fixed delay."""
+
+import heapq
+from itertools import count
+from random import Random
+
+from onyxfork.direct.admission import Refusal
+from onyxfork.direct.arbiter import Arbiter
+from onyxfork.direct.configuration import Queue
+from onyxfork.direct.dispatcher import Dispatcher
+from onyxfork.direct.requests import JobRequest, Step
+from onyxfork.direct.runs import Worker
+from onyxfork.direct.subsets import SubsetTable
+
+QUEUE = Queue("checks", "h.example", "/c/", "desk", 0, 3, 1.6, 60.0, 1500.0)
+CORES, TASK_CORES = 32, 5
+TASKS_PER_WORKER = CORES // TASK_CORES
+LINK_S, REPORT_S, TICK_S, REVIEW_S = 0.002, 0.02, 0.02, 0.1
+RACK_SIZE = 13
+
+
+class Fleet:
+    """Entries and agents in several zones under an open-loop load.
+
+    Parameters
+    ----------
+    entries, agents, zones : int
+    use_subsets : bool
+        Whether entries are connected to their subsets, or else to all agents.
+    seed : int
+
+    Attributes
+    ----------
+    on_time, late, refused : int
+        Outcomes of jobs; failed ones count as late.
+    refused_with_room : int
+        Jobs refused while a fifth of all workers' capacity was free.
+    """
+
+    def __init__(self, entries, agents, zones=4, use_subsets=True, seed=1):
+        self.now = 0.0
+        self.events, self.sequence = [], count()
+        self.rng = Random(seed)
+        self.use_subsets = use_subsets
+        self.on_time = self.late = self.refused = self.refused_with_room = 0
+        self.agents, self.dirty = {}, set()
+        self.zones = {f"a{number}": f"z{number % zones}" for number in range(agents)}
+        self.labels = {
+            f"a{number}": frozenset({f"r{number // RACK_SIZE}"}) for number in range(agents)
+        }
+        for name in self.zones:
+            self.agents[name] = arbiter = Arbiter()
+            labels = sorted(self.labels[name])
+            worker = Worker(name, 1, "desk", "ready", CORES * 1000, 131072, 0, labels, 1)
+            arbiter.apply_worker_report(worker, 0.0)
+        self.entries = {
+            f"e{number}": Dispatcher(-10.0, Random(number), f"z{number % zones}")
+            for number in range(entries)
+        }
+        self.table = SubsetTable()
+        entry_zones = {name: entry.zone for name, entry in self.entries.items()}
+        self.table.update(entry_zones, self.zones, self.labels)
+        self.sessions, self.due = {}, {}
+        for name in self.entries:
+            self.connect(name, ())
+        self.at(0.0, self.report)
+        self.at(0.0, self.tick)
+        self.at(REVIEW_S, self.review)
+
+    def at(self, delay, action, *arguments):
+        heapq.heappush(self.events, (self.now + delay, next(self.sequence), action, arguments))
+
+    def run(self, until):
+        while self.events and self.events[0][0] <= until:
+            self.now, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments)
+
+    def connect(self, name, wanted_labels):
+        """Connect an entry to the agents assigned to it that it is not connected to."""
+        assigned = self.table.agents_for(name, wanted_labels) if self.use_subsets else self.zones
+        dispatcher = self.entries[name]
+        for agent in sorted(assigned):
+            if (name, agent) not in self.sessions:
+                session = self.agents[agent].connect(name, "i", object())
+                self.sessions[name, agent] = session
+                dispatcher.on_connected(agent, self.zones[agent])
+                dispatcher.on_status(agent, self.agents[agent].status(session, self.now), self.now)
+        dispatcher.known_agent_count = len(dispatcher.workers)
+
+    def review(self):
+        for name, dispatcher in self.entries.items():
+            latest = sorted(dispatcher.shortages, key=dispatcher.shortages.get, reverse=True)
+            self.connect(name, latest[:4])
+        self.at(REVIEW_S, self.review)
+
+    # Load
+
+    def submit(self, name, job, tasks, run_ms, rack=""):
+        """Submit a job whose tasks run for `run_ms`; the caller's estimate is up to 40 % off."""
+        estimate = run_ms * self.rng.uniform(0.7, 1.4)
+        step = Step(count=tasks, cpu=TASK_CORES * 1000, expected_ms=estimate, rack=rack)
+        request = JobRequest(job, QUEUE, str(run_ms), [step], 6000.0)
+        objective_s = (QUEUE.stretch * run_ms + QUEUE.objective_ms) / 1000
+        result = self.entries[name].submit(request, self.now)
+        if isinstance(result, Refusal):
+            self.count_refusal()
+        else:
+            self.due[job] = self.now + objective_s
+        self.flush(name)
+
+    def count_refusal(self):
+        self.refused += 1
+        used = sum(arbiter.cpu_used for arbiter in self.agents.values())
+        self.refused_with_room += used < 0.8 * CORES * 1000 * len(self.agents)
+
+    # Messages
+
+    def flush(self, name):
+        dispatcher = self.entries[name]
+        for kind in ("withdrawals", "recalls", "orders"):
+            pending, _ = getattr(dispatcher, kind), setattr(dispatcher, kind, {})
+            for agent, items in pending.items():
+                self.at(LINK_S, self.deliver, kind, name, agent, items)
+        finished, dispatcher.finished_jobs = dispatcher.finished_jobs, []
+        for job in finished:
+            if job.outcome.state == "refused":
+                self.count_refusal()
+            elif job.outcome.state == "completed" and self.now <= self.due[job.id]:
+                self.on_time += 1
+            else:
+                self.late += 1
+
+    def deliver(self, kind, name, agent, items):
+        arbiter, session = self.agents[agent], self.sessions[name, agent]
+        handle = {"withdrawals": arbiter.withdraw, "recalls": arbiter.recall}.get(kind)
+        (handle or arbiter.place)(session, items, self.now)
+        self.step(agent)
+
+    def step(self, agent):
+        """Start what fits, end what is stopped, and send the events."""
+        arbiter = self.agents[agent]
+        arbiter.schedule(self.now)
+        starts, arbiter.starts = arbiter.starts, []
+        for run in starts:
+            arbiter.on_start_reply(run, "started", self.now)
+            self.at(float(run.order.spec) / 1000, self.end, agent, run.order.ref)
+        stops, arbiter.stops = arbiter.stops, []
+        for run in stops:
+            arbiter.apply_ended_runs([(run.order.ref, "stopped")], self.now)
+        for session in arbiter.sessions.values():
+            if session.events:
+                events, session.events = session.events, []
+                self.at(LINK_S, self.on_events, session.entry, agent, events)
+        self.dirty.add(agent)
+
+    def end(self, agent, ref):
+        self.agents[agent].apply_ended_runs([(ref, "done")], self.now)
+        self.step(agent)
+
+    def on_events(self, name, agent, events):
+        self.entries[name].on_events(agent, events, self.now)
+        self.flush(name)
+
+    def report(self):
+        for agent in sorted(self.dirty):
+            for session in self.agents[agent].sessions.values():
+                status = self.agents[agent].status(session, self.now)
+                self.at(LINK_S, self.on_status, session.entry, agent, status)
+        self.dirty.clear()
+        self.at(REPORT_S, self.report)
+
+    def on_status(self, name, agent, status):
+        self.entries[name].on_status(agent, status, self.now)
+        self.flush(name)
+
+    def tick(self):
+        for arbiter in self.agents.values():
+            arbiter.tick(self.now)
+        for name, dispatcher in self.entries.items():
+            dispatcher.tick(self.now)
+            self.flush(name)
+        self.at(TICK_S, self.tick)
