--- a/onyxfork/direct/directory.py
+++ b/onyxfork/direct/directory.py
@@ -144,15 +144,7 @@
         self.dirty = False
         self.sent_control = control
         listed = self.list_nodes()
-        by_role = {"entry": {}, "agent": {}}
-        for name, known in listed.items():
-            by_role.setdefault(known.node.role, {})[name] = known
-        zones = {
-            role: {name: known.node.zone for name, known in nodes.items()}
-            for role, nodes in by_role.items()
-        }
-        labels = {name: known.labels for name, known in by_role["agent"].items()}
-        self.subsets.update(zones["entry"], zones["agent"], labels)
+        self.update_subsets(listed)
         for connection, follower in self.followers.items():
             message = Directory(self.assigned_agents(follower, listed), control)
             if message != follower.sent:
@@ -177,6 +169,17 @@
         listed.update({follower.node.node: follower for follower in self.followers.values()})
         return listed
 
+    def update_subsets(self, listed):
+        """Pass the listed entries and agents to the table of subsets."""
+        entry_zones, agent_zones, agent_labels = {}, {}, {}
+        for name, known in listed.items():
+            if known.node.role == "entry":
+                entry_zones[name] = known.node.zone
+            elif known.node.role == "agent":
+                agent_zones[name] = known.node.zone
+                agent_labels[name] = known.labels
+        self.subsets.update(entry_zones, agent_zones, agent_labels)
+
     def assigned_agents(self, follower, listed):
         """Return the agents that a node should connect to: none unless it is an entry."""
         if follower.node.role != "entry":
--- a/onyxfork/messages/__init__.py
+++ b/onyxfork/messages/__init__.py
@@ -2,4 +2,4 @@
 
 from onyxfork.utils.lazy import lazy_names
 
-__getattr__ = lazy_names(__name__, ("codec", "connection", "greeting", "types"))
+__getattr__ = lazy_names(__name__, ("codec", "connection", "heartbeats", "greeting", "types"))
--- a/onyxfork/workload/platform_sweep.py
+++ b/onyxfork/workload/platform_sweep.py
@@ -21,7 +21,7 @@
 MECHANISMS = {
     "entry": "an entry speaks to the agents assigned to it: direct/subsets",
     "agent": "an agent serves the entries it is assigned to: direct/subsets; one heartbeat timer "
-    "for all connections: messages/connection",
+    "for all connections: messages/heartbeats",
     "control": "every node is connected to every control instance: not bounded yet; the list of "
     "nodes and one connection each grow with the fleet",
 }
--- a/tests/messages/test_heartbeats.py
+++ b/tests/messages/test_heartbeats.py
@@ -10,8 +10,9 @@
 from types import SimpleNamespace
 
 from onyxfork.messages import PROTOCOL_VERSION, Hello, Timing, open_connection, pack
-from onyxfork.messages.connection import HEADER, Connection, HeartbeatTimer
+from onyxfork.messages.connection import HEADER, Connection
 from onyxfork.messages.greeting import Ping
+from onyxfork.messages.heartbeats import HeartbeatTimer
 
 HELLO = Hello(PROTOCOL_VERSION, "c", "entry", "n", "i", "z", 0.0)
 
