--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -249,7 +249,7 @@
         was_full = False
         while True:
             result = await loop.run_in_executor(self.executor, write, *arguments)
-            if result.is_ok() or not self.storage.is_full:
+            if result.is_ok() or self.storage.failure is not None:
                 break
             if not was_full:
                 log.error("disk is full; waiting for room", extra={"reason": result.err_value})
--- a/onyxfork/control/storage.py
+++ b/onyxfork/control/storage.py
@@ -132,6 +132,7 @@
         try:
             os.fsync(self.log_file.fileno())
         except OSError as error:
+            self.is_full = False
             self.failure = f"{self.log_path.name}: {error.strerror}"
             return Err(self.failure)
         self.is_full = False
@@ -183,10 +184,8 @@
             self.log_file = open(self.log_path, "ab", buffering=0)
         except OSError as error:
             reason = f"snapshot {index}: {error.strerror}"
-            if error.errno in NO_SPACE_ERRORS and self.log_path != log_path:
-                self.is_full = True
-            else:
-                self.failure = reason
+            self.is_full = error.errno in NO_SPACE_ERRORS and self.log_path != log_path
+            self.failure = None if self.is_full else reason
             return Err(reason)
         self.is_full = False
         self.log_bytes = self.log_path.stat().st_size
--- a/tests/control/test_disk_full.py
+++ b/tests/control/test_disk_full.py
@@ -116,3 +116,23 @@
             if entry.kind == 0:
                 recovered.apply(entry.index, entry.data)
         assert recovered.version == 2
+
+
+async def test_other_error_after_a_full_disk_ends_the_instance(tmp_path, monkeypatch):
+    """The disk has room again, but a sync fails: what is on it is not known any more."""
+    async with single_replica(tmp_path) as (replica, driver):
+        async with asyncio.timeout(TIMEOUT_S):
+            while not await replica.configure(1, b"{}"):
+                pass
+            disk = replica.storage.log_file
+            disk.is_full = True
+            assert not await replica.configure(2, b"{2}")
+
+            def refuse(descriptor):
+                raise OSError(errno.EIO, "Input/output error")
+
+            with monkeypatch.context() as patch:
+                patch.setattr("onyxfork.control.storage.os.fsync", refuse)
+                disk.is_full = False
+                await asyncio.wait([driver])
+        assert "Input/output error" in str(driver.exception())
