--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -13,6 +13,7 @@
 
 from onyxfork.direct.arbiter_entries import EntrySessions
 from onyxfork.direct.arbiter_lists import WorkerLists
+from onyxfork.direct.crashes import Silence, describe_runs, find_exposed
 from onyxfork.direct.messages import WorkerStatus
 from onyxfork.direct.progress import (
     SLOW_FACTOR,
@@ -76,6 +77,10 @@
         The current lifetime of the worker.
     responsive : bool
         Whether the worker answers renewals of its lease.
+    last_answer_at : float
+        When the worker last answered a renewal.
+    silence : Silence or None
+        When it stopped answering; None while it answers.
     ended_lifetimes : deque of (str, int)
         Identity and start of the latest lifetimes that have ended; late reports of them are stale.
     sessions : dict
@@ -107,6 +112,8 @@
         self.worker = None
         self.ended_lifetimes = deque(maxlen=MAX_ENDED_LIFETIMES)
         self.responsive = True
+        self.last_answer_at = 0.0
+        self.silence = None
         self.sessions = {}
         self.former_sessions = {}
         self.runs = {}
@@ -157,7 +164,7 @@
             if same_lifetime and current.state == "draining":
                 worker.state = "draining"
             if not same_lifetime:
-                self.end_lifetime("a new lifetime of the worker has begun", now)
+                self.on_lifetime_lost("a new lifetime of the worker has begun", now)
         self.worker = worker
         self.changed = True
         if worker.state != READY:
@@ -177,6 +184,36 @@
         self.log_run_time_ratio = 0.0
         self.unhealthy_until = 0.0
 
+    def on_lifetime_lost(self, reason, now):
+        """End a lifetime that the worker has not announced the end of: it has crashed."""
+        self.log_lost_runs(reason, now)
+        self.end_lifetime(reason, now)
+
+    def on_renewal_missed(self, silent_from, now):
+        """Record that a renewal was not answered, and since when the worker may be silent."""
+        if self.silence is None:
+            self.silence = Silence(silent_from, now)
+
+    def on_renewal_answered(self, now):
+        """Record that the worker answers."""
+        self.last_answer_at = now
+        self.silence = None
+        self.set_responsive(True, now)
+
+    def log_lost_runs(self, reason, now):
+        """Log the runs that are lost with a worker, and their ages when it fell silent."""
+        silence = self.silence or Silence(self.last_answer_at, now)
+        exposed = find_exposed(self.runs.values(), silence)
+        if not exposed:
+            return
+        fields = {
+            "worker": self.worker.id if self.worker else "",
+            "reason": reason,
+            "silent_for_ms": round((now - silence.start) * 1000),
+            "runs": describe_runs(exposed, silence),
+        }
+        log.warning("runs lost with their worker", extra=fields)
+
     def set_responsive(self, responsive, now):
         """Set whether the worker answers; return queued runs if it does not."""
         if responsive == self.responsive:
@@ -188,6 +225,7 @@
 
     def on_lease_expired(self, now):
         """Finish started runs as lost, because the worker's lease has expired without a renewal."""
+        self.log_lost_runs("lease expired while the worker was unreachable", now)
         for run in list(self.runs.values()):
             if run.state != QUEUED:
                 self.finish(run, "lost", now, "lease expired while the worker was unreachable")
--- a/onyxfork/direct/worker_client.py
+++ b/onyxfork/direct/worker_client.py
@@ -21,10 +21,13 @@
         worker may have carried out the order, or may do so later.
     clock_ms : int or None
         The worker's monotonic clock when it answered.
+    connection_lost : bool
+        Whether a call is unanswered because its connection failed, not because of a timeout.
     """
 
     answer: str
     clock_ms: int | None = None
+    connection_lost: bool = field(default=False, kw_only=True)
 
 
 @define(slots=True)
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -106,27 +106,29 @@
         if not self.is_current_lifetime(worker):
             return True
         if reply.answer != "ok":
-            self.on_failed_renewal(reply, token, now)
+            self.on_failed_renewal(reply, token, sent_at, now)
             return False
         # The worker may delay its answer; it reads its clock just before it answers.
         self.worker_clock.update(reply.clock_ms, max(sent_at, now - 0.002), now)
-        self.on_renewal_answered(now)
-        if not self.token.on_accepted():
-            return True
         if reply.started_ms > worker.started_ms:
-            self.arbiter.end_lifetime("the worker has restarted", now)
+            self.arbiter.on_lifetime_lost("the worker has restarted", now)
+            self.on_renewal_answered(now)
             self.apply_decisions()
             return True
+        self.on_renewal_answered(now)
+        if not self.token.on_accepted():
+            return True
         self.apply_lists(reply, sent_at, now)
         return True
 
-    def on_failed_renewal(self, reply, token, now):
+    def on_failed_renewal(self, reply, token, sent_at, now):
         """Handle a renewal that was refused or not answered."""
         if reply.answer == "fence":
             self.token.on_refused(token)
             log.warning("fencing token refused", extra={"token": token, "next": self.token.value})
             return
         self.missed_renewals += 1
+        self.arbiter.on_renewal_missed(now if reply.connection_lost else sent_at, now)
         if self.missed_renewals == SUSPECT_MISSED_RENEWALS:
             log.warning("worker does not answer", extra={"answer": reply.answer})
         if self.missed_renewals >= SUSPECT_MISSED_RENEWALS:
@@ -140,7 +142,7 @@
         if self.missed_renewals >= SUSPECT_MISSED_RENEWALS:
             log.info("worker answers again", extra={"misses": self.missed_renewals})
         self.missed_renewals = 0
-        self.arbiter.set_responsive(True, now)
+        self.arbiter.on_renewal_answered(now)
 
     def apply_lists(self, reply, asked_at, now):
         """Apply the worker's lists of ended and running runs, and stop runs of earlier agents."""
--- a/onyxfork/platform/workers.py
+++ b/onyxfork/platform/workers.py
@@ -128,7 +128,7 @@
                 )
         except (TimeoutError, OSError) as error:
             log.debug("worker call failed", extra={"call": path, "reason": repr(error)})
-            return reply_type("unanswered")
+            return reply_type("unanswered", connection_lost=not isinstance(error, TimeoutError))
         return decode_reply(reply_type, status, response_body)
 
 
