A failing test: a task that crashes its workers is started without limit

A fleet without network, one job in ten with such a task: 13 starts of one task before its caller's deadline of 14 s; 17 when its entry restarts and the job is sent again elsewhere. Expected: at most 5 (two more after three crashes).

--- a/tests/direct/fleet.py
+++ b/tests/direct/fleet.py
@@ -14,6 +14,8 @@
 
 QUEUE = Queue("checks", "h.example", "/c/", "desk", 0, 3, 1.6, 60.0, 1500.0)
 CORES, TASK_CORES = 32, 5
+CRASH_DELAY_S, LEASE_S, RETURN_S = 0.01, 1.08, 3.0
+RESEND_S = 1.3
 TASKS_PER_WORKER = CORES // TASK_CORES
 LINK_S, REPORT_S, TICK_S, REVIEW_S = 0.002, 0.02, 0.02, 0.1
 RACK_SIZE = 13
@@ -35,15 +37,26 @@
         Outcomes of jobs; failed ones count as late.
     refused_with_room : int
         Jobs refused while a fifth of all workers' capacity was free.
+    outcomes : dict of str to str
+        Latest outcome of each job that has ended.
+    crashing : set of str
+        Jobs whose first task crashes each worker that starts it.
+    starts : dict of str to list of float
+        For each of these jobs, when its first task was started.
+    down : set of str
+        Agents whose worker does not answer.
     """
 
-    def __init__(self, entries, agents, zones=4, use_subsets=True, seed=1):
+    def __init__(self, entries, agents, zones=4, use_subsets=True, seed=1, caller_timeout_ms=6e3):
         self.now = 0.0
+        self.caller_timeout_ms = caller_timeout_ms
         self.events, self.sequence = [], count()
         self.rng = Random(seed)
         self.use_subsets = use_subsets
         self.on_time = self.late = self.refused = self.refused_with_room = 0
         self.agents, self.dirty = {}, set()
+        self.outcomes, self.crashing, self.starts, self.down = {}, set(), {}, set()
+        self.lifetimes, self.incarnations, self.submitted = count(2), count(2), {}
         self.zones = {f"a{number}": f"z{number % zones}" for number in range(agents)}
         self.labels = {
             f"a{number}": frozenset({f"r{number // RACK_SIZE}"}) for number in range(agents)
@@ -53,6 +66,7 @@
             labels = sorted(self.labels[name])
             worker = Worker(name, 1, "desk", "ready", CORES * 1000, 131072, 0, labels, 1)
             arbiter.apply_worker_report(worker, 0.0)
+            arbiter.on_renewal_answered(0.0)
         self.entries = {
             f"e{number}": Dispatcher(-10.0, Random(number), f"z{number % zones}")
             for number in range(entries)
@@ -75,13 +89,13 @@
             self.now, _, action, arguments = heapq.heappop(self.events)
             action(*arguments)
 
-    def connect(self, name, wanted_labels):
+    def connect(self, name, wanted_labels, incarnation="i"):
         """Connect an entry to the agents assigned to it that it is not connected to."""
         assigned = self.table.agents_for(name, wanted_labels) if self.use_subsets else self.zones
         dispatcher = self.entries[name]
         for agent in sorted(assigned):
             if (name, agent) not in self.sessions:
-                session = self.agents[agent].connect(name, "i", object())
+                session = self.agents[agent].connect(name, incarnation, object())
                 self.sessions[name, agent] = session
                 dispatcher.on_connected(agent, self.zones[agent])
                 dispatcher.on_status(agent, self.agents[agent].status(session, self.now), self.now)
@@ -99,7 +113,13 @@
         """Submit a job whose tasks run for `run_ms`; the caller's estimate is up to 40 % off."""
         estimate = run_ms * self.rng.uniform(0.7, 1.4)
         step = Step(count=tasks, cpu=TASK_CORES * 1000, expected_ms=estimate, rack=rack)
-        request = JobRequest(job, QUEUE, str(run_ms), [step], 6000.0)
+        request = JobRequest(job, QUEUE, str(run_ms), [step], self.caller_timeout_ms)
+        self.send(name, request, run_ms)
+
+    def send(self, name, request, run_ms):
+        """Send a job to an entry, for the first time or again."""
+        job = request.job
+        self.submitted[job] = name, request, run_ms
         objective_s = (QUEUE.stretch * run_ms + QUEUE.objective_ms) / 1000
         result = self.entries[name].submit(request, self.now)
         if isinstance(result, Refusal):
@@ -123,6 +143,7 @@
                 self.at(LINK_S, self.deliver, kind, name, agent, items)
         finished, dispatcher.finished_jobs = dispatcher.finished_jobs, []
         for job in finished:
+            self.outcomes[job.id] = job.outcome.state
             if job.outcome.state == "refused":
                 self.count_refusal()
             elif job.outcome.state == "completed" and self.now <= self.due[job.id]:
@@ -142,8 +163,14 @@
         arbiter.schedule(self.now)
         starts, arbiter.starts = arbiter.starts, []
         for run in starts:
+            if agent in self.down:
+                arbiter.on_start_reply(run, "unanswered", self.now)
+                continue
             arbiter.on_start_reply(run, "started", self.now)
             self.at(float(run.order.spec) / 1000, self.end, agent, run.order.ref)
+            if run.order.job in self.crashing and not run.order.index:
+                self.starts.setdefault(run.order.job, []).append(self.now)
+                self.at(CRASH_DELAY_S, self.crash, agent)
         stops, arbiter.stops = arbiter.stops, []
         for run in stops:
             arbiter.apply_ended_runs([(run.order.ref, "stopped")], self.now)
@@ -154,9 +181,55 @@
         self.dirty.add(agent)
 
     def end(self, agent, ref):
+        if agent in self.down:
+            return
         self.agents[agent].apply_ended_runs([(ref, "done")], self.now)
         self.step(agent)
 
+    # Crashes
+
+    def crash(self, agent):
+        """Crash a worker; it returns as a new lifetime after `RETURN_S`."""
+        if agent in self.down:
+            return
+        self.down.add(agent)
+        self.agents[agent].on_renewal_missed(self.now, self.now)
+        self.at(0.05, self.set_unresponsive, agent)
+        self.at(LEASE_S, self.expire_lease, agent)
+        self.at(RETURN_S, self.return_worker, agent)
+
+    def set_unresponsive(self, agent):
+        self.agents[agent].set_responsive(False, self.now)
+        self.step(agent)
+
+    def expire_lease(self, agent):
+        self.agents[agent].on_lease_expired(self.now)
+        self.step(agent)
+
+    def return_worker(self, agent):
+        arbiter = self.agents[agent]
+        self.down.discard(agent)
+        lifetime = next(self.lifetimes)
+        labels = sorted(self.labels[agent])
+        worker = Worker(f"{agent}-{lifetime}", lifetime, "desk", "ready", CORES * 1000, 131072, 0)
+        worker.labels, worker.sequence = labels, 1
+        arbiter.apply_worker_report(worker, self.now)
+        arbiter.on_renewal_answered(self.now)
+        self.step(agent)
+
+    def restart_entry(self, name, resend_to):
+        """Replace an entry by a new process; its callers send their jobs again to another one."""
+        former = self.entries[name]
+        self.entries[name] = Dispatcher(self.now - 10.0, Random(name), former.zone)
+        for agent in [agent for entry, agent in self.sessions if entry == name]:
+            session = self.sessions.pop((name, agent))
+            self.agents[agent].disconnect(session, session.connection, self.now)
+        self.connect(name, (), f"i{next(self.incarnations)}")
+        for job in former.jobs.values():
+            if job.outcome is None:
+                _, request, run_ms = self.submitted[job.id]
+                self.at(RESEND_S, self.send, resend_to, request, run_ms)
+
     def on_events(self, name, agent, events):
         self.entries[name].on_events(agent, events, self.now)
         self.flush(name)
