A task that crashes its workers is given up after two crashes that it explains, or four in all

Callers saw: one job in ten with such a task took 17 to 25 crashes of 11 workers in 10 s; with a long deadline one task crashed 13 workers in a row, and callers of other jobs were refused or served late meanwhile. Cause: an entry counted only runs that ended as failed. A run lost with its worker was placed again without limit but the caller's deadline: a retry without a budget, since the loss was always taken as the worker's fault. Fix: the agent counts a crash for the runs it held, as suspects if they had just started, and tells all its entries, so that the count outlives the entry. Messages TaskOrder and CrashReport change: old and new releases do not work together on the platform.

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -15,6 +15,7 @@
 from onyxfork.direct.links import ControlLinks
 from onyxfork.direct.messages import (
     AgentAnnounced,
+    CrashReport,
     DirectoryNode,
     FetchDocument,
     PlaceTasks,
@@ -59,6 +60,9 @@
 LISTEN_RETRY_S = 0.5
 """Pause before another attempt to listen, for instance while a former process still ends."""
 
+WAKE_MARGIN_S = 0.001
+"""Added to the delay after which a run starts that had to start apart from others."""
+
 RESUME_CHECK_MARGIN_S = 0.001
 """Added to the delay after which the session of a disconnected entry is checked."""
 
@@ -87,6 +91,8 @@
         Port at which entries are accepted, None before that.
     status_timer : asyncio.TimerHandle or None
         Timer of the next status report.
+    wake_timer : asyncio.TimerHandle or None
+        Timer of the next start of a run that waits to start apart from others.
     reported_state : str
         State of the worker in the latest report to all entries.
     """
@@ -110,6 +116,7 @@
         self.lost_entries = LostEntries()
         self.stopping = False
         self.status_timer = None
+        self.wake_timer = None
         self.reported_state = self.arbiter.state
         self.spawn = None
         self.suspended_s = clock.suspended_s()
@@ -127,14 +134,38 @@
         arbiter.schedule(self.clock.now())
         starts, arbiter.starts = arbiter.starts, []
         stops, arbiter.stops = arbiter.stops, []
+        if arbiter.wake_at is not None:
+            self.schedule_wake(arbiter.wake_at)
         for run in starts:
             self.spawn(self.start(run))
         for run in stops:
             self.spawn(self.stop_run(run))
+        if arbiter.crash_counts:
+            self.send_crash_counts()
         self.send_events()
         if arbiter.changed:
             self.schedule_status()
 
+    def schedule_wake(self, at):
+        """Schedule the next call of `apply_decisions` for a run that waits to start."""
+        if self.wake_timer is None:
+            delay_s = max(0.0, at - self.clock.now()) + WAKE_MARGIN_S
+            self.wake_timer = asyncio.get_running_loop().call_later(delay_s, self.wake)
+
+    def wake(self):
+        """Start runs that have waited to start apart from others."""
+        self.wake_timer = None
+        self.apply_decisions()
+
+    def send_crash_counts(self):
+        """Send the counts of a crash to every connected entry."""
+        counts, self.arbiter.crash_counts = self.arbiter.crash_counts, []
+        self.telemetry.count("worker_crashes")
+        self.telemetry.count("runs_lost_in_crashes", len(counts))
+        for session in self.arbiter.sessions.values():
+            if session.connection is not None:
+                session.connection.send(CrashReport(counts))
+
     def schedule_status(self):
         """Schedule a status report, or bring it forward: a change of state is reported at once."""
         if self.arbiter.state != self.reported_state:
@@ -256,6 +287,9 @@
             self.arbiter.recall(session, message.refs, now)
         elif isinstance(message, Resume):
             self.lost_entries.on_connected(session.entry, message.address)
+            counts = self.arbiter.crash_table.recent(now)
+            if counts:
+                connection.send(CrashReport(counts))
             self.arbiter.resume(session, message.refs, now)
         elif isinstance(message, FetchDocument):
             if self.control.document is not None:
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -11,9 +11,10 @@
 from collections import deque
 from itertools import count
 
+from onyxfork.direct.arbiter_crashes import CrashRecorder
 from onyxfork.direct.arbiter_entries import EntrySessions
 from onyxfork.direct.arbiter_lists import WorkerLists
-from onyxfork.direct.crashes import Silence, describe_runs, find_exposed
+from onyxfork.direct.crashes import CrashTable
 from onyxfork.direct.messages import WorkerStatus
 from onyxfork.direct.progress import (
     SLOW_FACTOR,
@@ -68,7 +69,7 @@
 SUSPECT = "suspect"
 
 
-class Arbiter(EntrySessions, WorkerLists):
+class Arbiter(EntrySessions, WorkerLists, CrashRecorder):
     """Scheduler of the runs of one worker.
 
     Attributes
@@ -81,6 +82,10 @@
         When the worker last answered a renewal.
     silence : Silence or None
         When it stopped answering; None while it answers.
+    crash_table : CrashTable
+        Crashes of this worker by task, for entries that connect later.
+    crash_counts : list of CrashCount
+        Counts that are to be sent to the entries.
     ended_lifetimes : deque of (str, int)
         Identity and start of the latest lifetimes that have ended; late reports of them are stale.
     sessions : dict
@@ -92,6 +97,16 @@
         Runs by task key; a task has at most one run at a worker.
     queue : list of (float, int, Run)
         Heap of queued runs by latest start; runs that have left the queue may still be in it.
+    latest_start : TaskOrder or None
+        Order of the run that was started last.
+    latest_start_at : float
+        When it was started.
+    waiting_suspect : Run or None
+        A suspect that waits to start apart from other runs.
+    suspect_waits_since : float
+        Since when it waits.
+    wake_at : float or None
+        When `schedule` has to be called again, because a run has to start apart from others.
     starts, stops : list of Run
         Runs that the driver has to start or stop next.
     log_run_time_ratio : float
@@ -114,11 +129,16 @@
         self.responsive = True
         self.last_answer_at = 0.0
         self.silence = None
+        self.crash_table = CrashTable()
+        self.crash_counts = []
         self.sessions = {}
         self.former_sessions = {}
         self.runs = {}
         self.queue = []
         self.sequence = count()
+        self.latest_start, self.latest_start_at = None, 0.0
+        self.waiting_suspect, self.suspect_waits_since = None, 0.0
+        self.wake_at = None
         self.starts = []
         self.stops = []
         self.cpu_used = self.memory_used = self.gpu_used = 0
@@ -184,36 +204,6 @@
         self.log_run_time_ratio = 0.0
         self.unhealthy_until = 0.0
 
-    def on_lifetime_lost(self, reason, now):
-        """End a lifetime that the worker has not announced the end of: it has crashed."""
-        self.log_lost_runs(reason, now)
-        self.end_lifetime(reason, now)
-
-    def on_renewal_missed(self, silent_from, now):
-        """Record that a renewal was not answered, and since when the worker may be silent."""
-        if self.silence is None:
-            self.silence = Silence(silent_from, now)
-
-    def on_renewal_answered(self, now):
-        """Record that the worker answers."""
-        self.last_answer_at = now
-        self.silence = None
-        self.set_responsive(True, now)
-
-    def log_lost_runs(self, reason, now):
-        """Log the runs that are lost with a worker, and their ages when it fell silent."""
-        silence = self.silence or Silence(self.last_answer_at, now)
-        exposed = find_exposed(self.runs.values(), silence)
-        if not exposed:
-            return
-        fields = {
-            "worker": self.worker.id if self.worker else "",
-            "reason": reason,
-            "silent_for_ms": round((now - silence.start) * 1000),
-            "runs": describe_runs(exposed, silence),
-        }
-        log.warning("runs lost with their worker", extra=fields)
-
     def set_responsive(self, responsive, now):
         """Set whether the worker answers; return queued runs if it does not."""
         if responsive == self.responsive:
@@ -225,7 +215,9 @@
 
     def on_lease_expired(self, now):
         """Finish started runs as lost, because the worker's lease has expired without a renewal."""
-        self.log_lost_runs("lease expired while the worker was unreachable", now)
+        # After a pause of this process the lease may have expired although the worker answers.
+        if not self.responsive:
+            self.record_crash("lease expired while the worker was unreachable", now)
         for run in list(self.runs.values()):
             if run.state != QUEUED:
                 self.finish(run, "lost", now, "lease expired while the worker was unreachable")
@@ -245,6 +237,9 @@
         entry: until then the entry may have sent their tasks to another worker.
         """
         passed_over = []
+        self.wake_at = None
+        if self.state == READY and now >= self.unhealthy_until:
+            self.start_waiting_suspect(now)
         while self.queue and self.state == READY and now >= self.unhealthy_until:
             latest_start, _, run = self.queue[0]
             if run.state != QUEUED or self.runs.get(run.key) is not run:
@@ -258,6 +253,9 @@
             if self.is_session_stale(run.session, now):
                 passed_over.append(heapq.heappop(self.queue))
                 continue
+            if self.must_start_apart(run, now):
+                passed_over.append(heapq.heappop(self.queue))
+                continue
             if not self.fits(run.order):
                 break
             heapq.heappop(self.queue)
@@ -270,6 +268,7 @@
         self.count_queued(run, -1)
         self.count_used(run, 1)
         run.state, run.ordered_at = STARTING, now
+        self.latest_start, self.latest_start_at = run.order, now
         self.starts.append(run)
         self.changed = True
 
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -22,6 +22,7 @@
     Refusal,
     check_admission,
 )
+from onyxfork.direct.crashes import CrashTable
 from onyxfork.direct.dispatcher_news import RECOVERY_WINDOW_S, AgentEventMixin
 from onyxfork.direct.estimates import EstimateTable
 from onyxfork.direct.jobs import PLACED, WAITING, make_job
@@ -100,6 +101,8 @@
         Runs to be returned unless they have started, by agent.
     finished_jobs : list of Job
         Finished jobs whose callers have not been answered yet.
+    crash_table : CrashTable
+        Crashes by task as agents report them, also of jobs that other entries hold.
     """
 
     def __init__(self, now, rng=None, zone=""):
@@ -122,6 +125,7 @@
         self.withdrawals = {}
         self.recalls = {}
         self.finished_jobs = []
+        self.crash_table = CrashTable()
 
     # Jobs
 
@@ -137,9 +141,13 @@
         Returns
         -------
         Job or Refusal
-            The accepted job, or why it is refused.
+            The accepted job, which has failed already if a task of it has crashed too many workers;
+            or why it is refused.
         """
         job = make_job(request, now, self.estimates)
+        self.crash_table.apply_to(job)
+        if self.fail_if_exhausted(job):
+            return job
         refusal = self.find_refusal(job, now)
         if refusal is not None:
             return refusal
@@ -217,7 +225,8 @@
     def remove_if_finished(self, job):
         """Remove a finished job once no agent holds a run of it."""
         if job.outcome is not None and not job.has_runs_at_agents:
-            self.jobs.pop(job.id, None)
+            if self.jobs.get(job.id) is job:
+                del self.jobs[job.id]
 
     def abandon_job(self, job, reason):
         """Finish a job that cannot continue.
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -5,6 +5,7 @@
 
 import logging
 
+from onyxfork.direct.crashes import is_exhausted
 from onyxfork.direct.jobs import BLOCKED, DONE, RUNNING
 from onyxfork.direct.placement import FAULTY_FAILURE_SHARE
 from onyxfork.direct.requests import COMPLETED, FAILED, UNKNOWN, JobOutcome
@@ -76,6 +77,30 @@
         if self.waiting_heap:
             self.place_waiting_tasks(now)
 
+    def on_crash_report(self, counts, now):
+        """Record the crashes of tasks, and fail the jobs of those that may not start again."""
+        self.crash_table.update(counts, now)
+        for count in counts:
+            job = self.jobs.get(count.job)
+            if job is None or job.outcome is not None:
+                continue
+            for task in job.tasks:
+                if (task.step, task.index) == (count.step, count.index):
+                    task.record_crashes(count)
+            self.fail_if_exhausted(job)
+
+    def fail_if_exhausted(self, job):
+        """Fail a job if a task of it has crashed too many workers; return whether it has."""
+        for task in job.tasks:
+            if is_exhausted(task):
+                reason = (
+                    f"task {task.step}.{task.index} ran in {task.crashes} crashes of workers, and "
+                    f"had just started in {task.suspected}"
+                )
+                self.finish_job(job, JobOutcome(FAILED, reason))
+                return True
+        return False
+
     def on_started(self, task, view, event, now):
         """Mark a run as started."""
         task.may_have_started = True
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -11,6 +11,7 @@
 from onyxfork.direct.links import ControlLinks, Dialer
 from onyxfork.direct.messages import (
     AgentAnnounced,
+    CrashReport,
     DocumentTransfer,
     FetchDocument,
     PlaceTasks,
@@ -255,6 +256,8 @@
             self.dispatcher.on_status(name, message, now)
         elif isinstance(message, TaskEvents):
             self.dispatcher.on_events(name, message.events, now)
+        elif isinstance(message, CrashReport):
+            self.dispatcher.on_crash_report(message.counts, now)
         elif isinstance(message, DocumentTransfer):
             self.control.adopt_document(decompress_document(message), name)
         else:
--- a/onyxfork/direct/jobs.py
+++ b/onyxfork/direct/jobs.py
@@ -42,6 +42,9 @@
         Whether any run started or was lost.
     withdrawn, recalled : bool
         Whether the latest run has been withdrawn or recalled.
+    crashes, suspected : int
+        Workers that have crashed while they ran the task, and those of them in whose crash it is a
+        suspect.
     """
 
     job: "Job"
@@ -59,6 +62,13 @@
     may_have_started: bool = False
     withdrawn: bool = False
     recalled: bool = False
+    crashes: int = 0
+    suspected: int = 0
+
+    def record_crashes(self, count):
+        """Raise the numbers of crashes to those of a `CrashCount`."""
+        self.crashes = max(self.crashes, count.crashes)
+        self.suspected = max(self.suspected, count.suspected)
 
     @property
     def ref(self):
@@ -85,6 +95,8 @@
             spec.gpu,
             self.expected_ms,
             slack_ms,
+            self.crashes,
+            self.suspected,
         )
 
 
--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -24,6 +24,8 @@
     "FetchDocument",
     "DocumentTransfer",
     "AgentAnnounced",
+    "CrashCount",
+    "CrashReport",
 ]
 
 
@@ -62,6 +64,9 @@
     slack_ms : float
         Time left until the latest start when the order was sent; tasks with less slack start
         first.
+    crashes, suspected : int
+        Workers that have crashed while they ran the task, and those of them in whose crash it is a
+        suspect.
     """
 
     job: str
@@ -74,6 +79,8 @@
     gpu: int
     expected_ms: float
     slack_ms: float
+    crashes: int = 0
+    suspected: int = 0
 
     @property
     def ref(self):
@@ -181,6 +188,29 @@
     events: list[TaskEvent]
 
 
+@define(slots=True)
+class CrashCount:
+    """Crashes of workers while they ran a task, and those of them in which it is a suspect."""
+
+    job: str
+    step: int
+    index: int
+    crashes: int
+    suspected: int
+
+
+@message(137)
+@define
+class CrashReport:
+    """Counts of the tasks that a crashed worker ran.
+
+    An agent sends them to every connected entry, before the events of the lost runs; the job of a
+    task may be sent to another entry next.
+    """
+
+    counts: list[CrashCount]
+
+
 @message(134)
 @define
 class WorkerStatus:
--- a/onyxfork/direct/placement.py
+++ b/onyxfork/direct/placement.py
@@ -35,7 +35,8 @@
 
 FAILURE_PENALTY = 4.0
 """Cost of a worker all of whose recent runs failed (scaled by the share that failed), and of a
-worker that is to be avoided."""
+worker that is to be avoided. For a task that may have crashed a worker, also the cost of a worker
+that has another such task."""
 
 FAULTY_FAILURE_SHARE = 0.5
 """From this share of failed runs the worker is considered faulty, not its tasks, and gets no
@@ -80,6 +81,8 @@
         total -= SAME_JOB_DISCOUNT
     if view.avoid_until > now or view.node in task.avoid:
         total += FAILURE_PENALTY
+    if task.suspected and has_other_suspect(task, view):
+        total += FAILURE_PENALTY
     return total + JITTER_SHARE * rng.random()
 
 
@@ -130,6 +133,11 @@
     return relative < SLOW_RUN_TIME_FACTOR or ends_at <= task.job.due_at
 
 
+def has_other_suspect(task, view):
+    """Return whether a worker has a task of another job that may have crashed its last worker."""
+    return any(other.suspected and other.job is not task.job for other in view.tasks.values())
+
+
 def count_step_tasks(task, view):
     """Return how many tasks of the same job and step a worker has."""
     return sum(1 for job, step, _ in view.tasks if job == task.job.id and step == task.step)
--- a/tests/direct/builders.py
+++ b/tests/direct/builders.py
@@ -61,8 +61,17 @@
     return TaskEvent(order.job, order.step, order.index, order.run, kind, reason)
 
 
-def make_order(job="00000000000000a1", index=0, run=1, cpu=1000, ms=100.0, slack_ms=50.0):
-    return TaskOrder(job, 0, index, run, "x", cpu, 64, 0, ms, slack_ms)
+def make_order(
+    job="00000000000000a1",
+    index=0,
+    run=1,
+    cpu=1000,
+    ms=100.0,
+    slack_ms=50.0,
+    crashes=0,
+    suspected=0,
+):
+    return TaskOrder(job, 0, index, run, "x", cpu, 64, 0, ms, slack_ms, crashes, suspected)
 
 
 def make_worker(cpu=4000, state="ready", born_ms=1, sequence=1, id="w1"):
--- a/tests/direct/fleet.py
+++ b/tests/direct/fleet.py
@@ -1,6 +1,7 @@
 """A fleet without a network: dispatchers and arbiters that exchange messages with a fixed delay."""
 
 import heapq
+from copy import deepcopy
 from itertools import count
 from random import Random
 
@@ -98,6 +99,8 @@
                 session = self.agents[agent].connect(name, incarnation, object())
                 self.sessions[name, agent] = session
                 dispatcher.on_connected(agent, self.zones[agent])
+                recent = self.agents[agent].crash_table.recent(self.now)
+                dispatcher.on_crash_report(deepcopy(recent), self.now)
                 dispatcher.on_status(agent, self.agents[agent].status(session, self.now), self.now)
         dispatcher.known_agent_count = len(dispatcher.workers)
 
@@ -162,6 +165,8 @@
         arbiter = self.agents[agent]
         arbiter.schedule(self.now)
         starts, arbiter.starts = arbiter.starts, []
+        if arbiter.wake_at is not None:
+            self.at(arbiter.wake_at - self.now + 0.001, self.step, agent)
         for run in starts:
             if agent in self.down:
                 arbiter.on_start_reply(run, "unanswered", self.now)
@@ -174,7 +179,10 @@
         stops, arbiter.stops = arbiter.stops, []
         for run in stops:
             arbiter.apply_ended_runs([(run.order.ref, "stopped")], self.now)
+        counts, arbiter.crash_counts = arbiter.crash_counts, []
         for session in arbiter.sessions.values():
+            if counts and session.connection is not None:
+                self.at(LINK_S, self.on_crash_report, session.entry, counts)
             if session.events:
                 events, session.events = session.events, []
                 self.at(LINK_S, self.on_events, session.entry, agent, events)
@@ -230,6 +238,10 @@
                 _, request, run_ms = self.submitted[job.id]
                 self.at(RESEND_S, self.send, resend_to, request, run_ms)
 
+    def on_crash_report(self, name, counts):
+        self.entries[name].on_crash_report(deepcopy(counts), self.now)
+        self.flush(name)
+
     def on_events(self, name, agent, events):
         self.entries[name].on_events(agent, events, self.now)
         self.flush(name)
--- a/tests/direct/test_crashing_tasks.py
+++ b/tests/direct/test_crashing_tasks.py
@@ -43,6 +43,14 @@
     assert set(answered) <= {"failed", "refused", "unknown"}
 
 
+# Guards against jobs given up because their tasks ran beside the one that crashes workers.
+@pytest.mark.parametrize("run_ms", [150, 1500])
+def test_jobs_beside_a_crashing_task_are_not_given_up(run_ms):
+    fleet = play(jobs=200, run_ms=run_ms, interval_s=0.05)
+    given_up = {job for job, state in fleet.outcomes.items() if state == "failed"}
+    assert given_up <= fleet.crashing
+
+
 # Guards against a count of crashes that is lost with the entry that holds it.
 def test_crashing_task_is_not_started_anew_by_the_entry_that_gets_its_job_next():
     fleet = Fleet(ENTRIES, AGENTS, seed=3, caller_timeout_ms=14e3)
