A queued run that no longer fits its shrunk worker is returned

A worker's capacity may shrink while it runs. What was wrong: a queued run larger than the whole shrunk worker stayed at the head of the queue and blocked the others until its caller's deadline.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -22,7 +22,7 @@
     find_stalled,
     median_run_time_ratio,
 )
-from onyxfork.direct.runs import QUEUED, READY, RUNNING, STARTING, STOPPING
+from onyxfork.direct.runs import QUEUED, READY, RUNNING, STARTING, STOPPING, TOO_LARGE
 
 __all__ = ["Arbiter"]
 
@@ -189,6 +189,9 @@
         self.changed = True
         if worker.state != READY:
             self.return_queued("draining", now)
+        for run in list(self.runs.values()):
+            if run.state == QUEUED and not self.is_large_enough(run.order):
+                self.finish(run, "returned", now, TOO_LARGE)
         return True
 
     def end_lifetime(self, reason, now):
@@ -281,6 +284,15 @@
             and self.gpu_used + order.gpu <= worker.gpu
         )
 
+    def is_large_enough(self, order):
+        """Return whether a task fits the worker's present capacity when nothing else runs."""
+        worker = self.worker
+        return (
+            order.cpu <= worker.cpu
+            and order.memory_mb <= worker.memory_mb
+            and order.gpu <= worker.gpu
+        )
+
     def count_used(self, run, sign):
         """Add a run to the allocated capacity, or subtract it with a sign of -1."""
         self.cpu_used += sign * run.order.cpu
--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -7,7 +7,7 @@
 import logging
 
 from onyxfork.direct.messages import TaskEvent
-from onyxfork.direct.runs import QUEUED, READY, RUNNING, STALE_AFTER_S, Run, Session
+from onyxfork.direct.runs import QUEUED, READY, RUNNING, STALE_AFTER_S, TOO_LARGE, Run, Session
 
 __all__ = ["EntrySessions"]
 
@@ -130,14 +130,17 @@
         """Return why an order is refused; empty for a duplicate, None if it is accepted.
 
         ``copy``: another session has ordered a run of the task that is still here; ``busy``: so has
-        this session. Any other reason is the state of this agent, which is not ready.
+        this session. `TOO_LARGE`: the worker has too little capacity in all. Any other reason is
+        the state of this agent, which is not ready.
         """
         known = self.runs.get(order.ref.key)
         if known is not None and known.session is session and known.order.run == order.run:
             return ""
         if known is not None:
             return "copy" if known.session is not session else "busy"
-        return None if self.state == READY else self.state
+        if self.state != READY:
+            return self.state
+        return None if self.is_large_enough(order) else TOO_LARGE
 
     def withdraw(self, session, refs, now):
         """Stop runs that their entry has withdrawn; send the final event of those not here."""
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -12,6 +12,10 @@
 RUNNING = "running"
 STOPPING = "stopping"
 
+TOO_LARGE = "too large"
+"""Reason for returning a run that would not fit the worker even if nothing else ran there, because
+its capacity has shrunk since the order was sent."""
+
 STALE_AFTER_S = 0.45
 """Orders older than this are returned. After a pause of this process or a stall of the network,
 orders may be read from a connection that their entry has already closed, and their tasks may run on
--- a/tests/direct/test_arbiter.py
+++ b/tests/direct/test_arbiter.py
@@ -209,3 +209,47 @@
     assert [(e.index, e.reason) for e in session.events] == [(1, "stale")]
     arbiter.place(session, [make_order(index=2)], 10.2, agent_clock=10.1)
     assert len(start_all(arbiter, 10.2)) == 2
+
+
+# Guards against a worker over its capacity after a shrink: runs in progress and stops still count.
+def test_nothing_starts_on_a_shrunk_worker_until_its_runs_fit():
+    arbiter, session = make_arbiter()
+    orders = [make_order(index=index, cpu=2000) for index in range(3)]
+    arbiter.place(session, orders, 0.0)
+    arbiter.schedule(0.0)
+    first, second = arbiter.starts
+    for run in (first, second):
+        arbiter.on_start_reply(run, "started", 0.0)
+    arbiter.starts = []
+    arbiter.apply_worker_report(make_worker(cpu=2000, sequence=2), 0.1)
+    arbiter.withdraw(session, [first.order.ref], 0.1)
+    arbiter.schedule(0.1)
+    assert arbiter.starts == [] and arbiter.stops == [first]
+    arbiter.apply_ended_runs([(first.order.ref, "stopped")], 0.2)
+    arbiter.schedule(0.2)
+    assert arbiter.starts == []
+    arbiter.apply_worker_report(make_worker(cpu=4000, sequence=3), 0.3)
+    arbiter.schedule(0.3)
+    assert [run.order.index for run in arbiter.starts] == [2]
+
+
+# Guards against a queue that a run blocks which no longer fits the worker at all.
+def test_queued_run_that_no_longer_fits_a_shrunk_worker_is_returned():
+    arbiter, session = make_arbiter()
+    arbiter.place(session, [make_order(index=index, cpu=3000) for index in range(2)], 0.0)
+    arbiter.schedule(0.0)
+    arbiter.apply_worker_report(make_worker(cpu=2000, sequence=2), 0.1)
+    assert [(event.index, event.kind, event.reason) for event in session.events] == [
+        (1, "returned", "too large")
+    ]
+    arbiter.place(session, [make_order(index=2, cpu=3000), make_order(index=3)], 0.2)
+    assert [event.index for event in session.events] == [1, 2]
+
+
+def test_older_report_does_not_restore_the_former_capacity():
+    arbiter, session = make_arbiter()
+    arbiter.apply_worker_report(make_worker(cpu=1000, sequence=3), 0.1)
+    arbiter.apply_worker_report(make_worker(cpu=4000, sequence=2), 0.2)
+    arbiter.place(session, [make_order(index=index) for index in range(2)], 0.3)
+    arbiter.schedule(0.3)
+    assert len(arbiter.starts) == 1
