Soak: jobs that crash their workers, and workers whose capacity shrinks

Half of the stand-in workers do not guard their capacity. New checks: starts of a task after three crashes, starts over the capacity (3.6 s after a shrink), an answer 'failed' without a failed run or two crashes under one task; each has a test with an injected violation.

--- a/onyxfork/platform/standin/worker.py
+++ b/onyxfork/platform/standin/worker.py
@@ -32,6 +32,10 @@
 RESTART_GAP_S = 0.3
 """Time from the end of one lifetime to the first report of the next."""
 
+CRASH_DELAY_S, CRASH_RETURN_S = 0.01, 1.5
+"""Time from the start of a task that crashes the worker to the crash, as on the platform, and from
+there to the worker's return, half of the platform's."""
+
 MIN_START_DELAY_S, MAX_START_DELAY_S = 0.5, 3.0
 """How long after its arrival an unanswered order to start is carried out: 2 to 12 s on the
 platform, shorter here so that it happens while the job is still in progress."""
@@ -97,6 +101,12 @@
         lease), ``late`` (orders to start get no response and are carried out after a delay),
         ``mute`` (orders to start are carried out at once and get no response), ``shed`` (orders to
         start are refused) or empty.
+    guards_capacity : bool
+        Whether orders to start that do not fit are refused.
+    crashes_on : callable
+        Takes the spec and name of a task; returns whether it crashes the worker.
+    capacities : list of (float, int)
+        Every change of `cpu`: when, and the new value.
     speed : float
         Divides the run time of tasks: 0.5 makes them run twice as long.
     lifetime : int
@@ -135,6 +145,9 @@
     rng: Random
     journal: list = field(factory=list)
     fault: str = ""
+    guards_capacity: bool = True
+    crashes_on: object = field(default=lambda spec, task: False)
+    capacities: list = field(factory=list)
     speed: float = 1.0
     lifetime: int = 0
     sequence: int = 0
@@ -215,7 +228,8 @@
         if body["untilMs"] / 1000 <= self.clock.now():
             return self.reject("late")
         needed_cpu = self.task_cpu(body["spec"])
-        if needed_cpu + sum(self.task_cpu(r.spec) for r in self.running.values()) > self.cpu:
+        cpu_used = sum(self.task_cpu(record.spec) for record in self.running.values())
+        if self.guards_capacity and needed_cpu + cpu_used > self.cpu:
             return self.reject("room")
         now = self.clock.now()
         record = RunRecord(self.id, task.split(".")[0], task, run, body["spec"], now, started_late)
@@ -267,6 +281,11 @@
         rows = [[r.task, r.run, "", self.progress_percent(r)] for r in self.running.values()]
         return 200, {"running": rows, "ended": self.ended_runs[:500]}
 
+    def set_capacity(self, cpu):
+        """Change the capacity; runs in progress continue."""
+        self.cpu = cpu
+        self.capacities.append((self.clock.now(), cpu))
+
     def progress_percent(self, record):
         """Return the progress of a run in percent; it reaches 100 only at the end of the run."""
         if self.fault == "hang":
@@ -298,7 +317,7 @@
 
     def __init__(self, worker):
         self.worker = worker
-        self.delayed_starts = set()
+        self.background_tasks = set()
 
     async def handle(self, request):
         """Respond to one request, or close the connection if the worker is down."""
@@ -310,7 +329,10 @@
             return json_response(421, {})
         body = json.loads(request.body)
         if request.path == "/hold":
-            return self.answer(*await worker.renew_lease(body))
+            status, response = await worker.renew_lease(body)
+            if not worker.is_up:
+                request.transport.abort()
+            return self.answer(status, response)
         if request.path == "/run-stop":
             return self.answer(*worker.stop(body))
         return await self.start(request, body)
@@ -321,16 +343,33 @@
         if worker.fault == "shed":
             return json_response(503, {})
         if worker.fault == "late":
-            task = asyncio.create_task(self.start_late(worker.id, body))
-            self.delayed_starts.add(task)
-            task.add_done_callback(self.delayed_starts.discard)
+            self.spawn(self.start_late(worker.id, body))
         if worker.fault == "mute":
             worker.start(body)
         if worker.fault in ("late", "mute"):
             await asyncio.sleep(MAX_START_DELAY_S)
             request.transport.abort()
             return json_response(503, {})
-        return self.answer(*worker.start(body))
+        status, response = worker.start(body)
+        if status == 200 and worker.crashes_on(body["spec"], body["task"]):
+            self.spawn(self.crash(worker.id))
+        return self.answer(status, response)
+
+    def spawn(self, coroutine):
+        """Run a coroutine in the background."""
+        task = asyncio.create_task(coroutine)
+        self.background_tasks.add(task)
+        task.add_done_callback(self.background_tasks.discard)
+
+    async def crash(self, worker_id):
+        """Crash the worker soon, unless its lifetime ends before; it returns after a while."""
+        worker = self.worker
+        await asyncio.sleep(CRASH_DELAY_S)
+        if worker.is_up and worker.id == worker_id:
+            worker.is_up = False
+            worker.end_lifetime()
+            await asyncio.sleep(CRASH_RETURN_S)
+            worker.is_up = True
 
     async def start_late(self, worker_id, body):
         """Carry out an order to start after a random delay, unless the lifetime has ended."""
--- a/onyxfork/workload/soak/checks.py
+++ b/onyxfork/workload/soak/checks.py
@@ -1,5 +1,6 @@
 """Guarantees that a soak verifies from the records of callers, operators and workers."""
 
+from collections import Counter
 from itertools import pairwise
 
 from attrs import define, field
@@ -22,6 +23,16 @@
 """Lower bound on the share of the jobs of the final load that are completed, as the platform
 requires."""
 
+MAX_STARTS_AFTER_THREE_CRASHES = 2
+"""Upper bound on the starts of a task after three workers have crashed while they ran it."""
+
+MIN_CRASHES_TO_GIVE_UP = 2
+"""A job may be answered ``failed`` after this many crashes of workers that ran one of its tasks."""
+
+SHRINK_GRACE_S = 3.0 + 0.6
+"""How long after a shrink the former capacity of a worker still counts: 3 s for the agent to be in
+touch, and one report of the worker, with its jitter."""
+
 UNPLANNED_FAULT_MARGIN_S = 3.0
 """A request that a planned stop cut is not reported if an unplanned fault began before the cut and
 ended less than this long before the request was sent, or later: the platform allows processes 3 s
@@ -86,6 +97,9 @@
     jobs : dict of str to JobRecord
     runs : list of RunRecord
         Runs of all workers.
+    capacities : dict of str to list of (float, int)
+        For each worker that does not guard its capacity, when that changed and the new value in
+        thousandths of a core, from its first value on; by name without the number of the lifetime.
     drains : list of (str, float)
         Identifier of the lifetime of each drained worker, and when its draining was acknowledged.
     configurations : list of ConfigurationRecord
@@ -101,6 +115,7 @@
 
     jobs: dict = field(factory=dict)
     runs: list = field(factory=list)
+    capacities: dict = field(factory=dict)
     drains: list = field(factory=list)
     configurations: list = field(factory=list)
     unplanned_faults: list = field(factory=list)
@@ -126,6 +141,8 @@
         find_refused_jobs_that_ran,
         find_wrong_answers,
         find_starts_on_draining_workers,
+        find_starts_of_crashing_tasks,
+        find_starts_over_capacity,
         find_configuration_violations,
         find_requests_cut_by_planned_stops,
         find_missing_recovery,
@@ -178,10 +195,15 @@
 def find_wrong_answers(records):
     """Yield a line for each answer that the runs of its job do not confirm.
 
-    ``completed`` requires that every task has a run that is done, ``failed`` that a run has failed.
+    ``completed`` requires that every task has a run that is done, ``failed`` that a run has failed
+    or that enough workers have crashed while they ran one of the tasks.
     """
-    done, failed = {}, set()
+    done, failed, crashes = {}, set(), Counter()
     for run in records.runs:
+        if run.outcome == "crashed":
+            crashes[run.task] += 1
+            if crashes[run.task] >= MIN_CRASHES_TO_GIVE_UP:
+                failed.add(run.job)
         if run.outcome == "done":
             done.setdefault(run.job, set()).add(run.task)
         elif run.outcome == "failed":
@@ -196,6 +218,55 @@
             yield f"false failure: {job.id} was answered failed, but none of its runs failed"
 
 
+def find_starts_of_crashing_tasks(records):
+    """Yield a line for each task that is started too often after three crashes of its workers.
+
+    Runs that the worker itself started late, without a response to the order, are exempt.
+    """
+    by_task = {}
+    for run in records.runs:
+        by_task.setdefault(run.task, []).append(run)
+    for task, runs in by_task.items():
+        crashed_at = sorted(run.ended_at for run in runs if run.outcome == "crashed")
+        if len(crashed_at) < 3:
+            continue
+        later = sum(run.started_at > crashed_at[2] and not run.started_late for run in runs)
+        if later > MAX_STARTS_AFTER_THREE_CRASHES:
+            yield f"crashing task: {task} was started {later} times after three crashes"
+
+
+def find_starts_over_capacity(records):
+    """Yield a line for each start that brings a worker over its capacity."""
+    by_worker = {}
+    for run in records.runs:
+        by_worker.setdefault(run.worker, []).append(run)
+    for worker, runs in by_worker.items():
+        changes = records.capacities.get(worker.rpartition("-")[0])
+        for run in runs if changes else ():
+            limit = highest_capacity(changes, run.started_at)
+            used = sum(
+                int(other.spec.split()[0])
+                for other in runs
+                if other.started_at <= run.started_at
+                and (other.ended_at is None or other.ended_at > run.started_at)
+            )
+            if used > limit and not run.started_late:
+                yield (
+                    f"over capacity: {run.task} brings {worker} to {used} of {limit} thousandths "
+                    f"of a core at {run.started_at:.2f} s"
+                )
+
+
+def highest_capacity(changes, at):
+    """Return the highest capacity in force within `SHRINK_GRACE_S` before a time."""
+    capacities = []
+    for number, (changed_at, capacity) in enumerate(changes):
+        replaced_at = changes[number + 1][0] if number + 1 < len(changes) else float("inf")
+        if changed_at <= at and replaced_at > at - SHRINK_GRACE_S:
+            capacities.append(capacity)
+    return max(capacities)
+
+
 def find_starts_on_draining_workers(records):
     """Yield a line for each run that starts too long after the worker's draining was acknowledged.
 
--- a/onyxfork/workload/soak/cluster.py
+++ b/onyxfork/workload/soak/cluster.py
@@ -28,7 +28,7 @@
 from onyxfork.settings import Address
 from onyxfork.workload.processes import ManagedProcess, kill_processes
 from onyxfork.workload.proxy import Place, run_proxy
-from onyxfork.workload.soak.load import SERVICE, task_cpu, task_run_s
+from onyxfork.workload.soak.load import SERVICE, task_cpu, task_crashes, task_run_s
 
 __all__ = ["SoakCluster", "run_cluster"]
 
@@ -150,6 +150,8 @@
             task_cpu,
             self.clock,
             Random(self.rng.random()),
+            guards_capacity=self.host_numbers[name] % 2 == 0,
+            crashes_on=task_crashes,
         )
 
     def start(self, name):
--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -7,7 +7,12 @@
 
 from onyxfork.platform.standin.worker import drain_and_restart
 from onyxfork.workload.proxy import Rule
-from onyxfork.workload.soak.cluster import CONTROL_HTTP_PORT, RESTART_DELAY_S, STOP_GRACE_S
+from onyxfork.workload.soak.cluster import (
+    CONTROL_HTTP_PORT,
+    RESTART_DELAY_S,
+    STOP_GRACE_S,
+    WORKER_CPU,
+)
 from onyxfork.workload.soak.schedule import UNPLANNED_KINDS
 
 __all__ = ["FaultInjector"]
@@ -200,6 +205,13 @@
         await asyncio.sleep(fault.duration_s)
         worker.speed = 1.0
 
+    async def do_shrink(self, fault):
+        """Divide a worker's capacity by a factor for the duration of the fault."""
+        worker = self.cluster.workers[fault.target]
+        worker.set_capacity(int(WORKER_CPU / fault.amount))
+        await asyncio.sleep(fault.duration_s)
+        worker.set_capacity(WORKER_CPU)
+
     async def do_leave(self, fault):
         """Drain a worker and end its lifetime as planned."""
         worker = self.cluster.workers[fault.target]
@@ -231,6 +243,12 @@
         await asyncio.sleep(fault.duration_s)
         self.callers.abandoned_share = 0.0
 
+    async def do_crashing(self, fault):
+        """Let a share of the jobs crash each worker that starts their first task."""
+        self.callers.crashing_share = fault.amount
+        await asyncio.sleep(fault.duration_s)
+        self.callers.crashing_share = 0.0
+
     async def do_storm(self, fault):
         """Send many large configurations in quick succession."""
         await self.operators.send_storm()
--- a/onyxfork/workload/soak/load.py
+++ b/onyxfork/workload/soak/load.py
@@ -57,6 +57,10 @@
 of kilobytes long."""
 
 
+CRASHING = "crash"
+"""Last word of the spec of a job whose first task crashes each worker that starts it."""
+
+
 @define(frozen=True)
 class JobKind:
     """Jobs of one queue; their rates have the proportions of the users' load.
@@ -81,9 +85,9 @@
     run_ms: int
     cpu: int = 3100
 
-    def spec(self):
-        """Return the spec of a job, from which the stand-in worker reads the needs of a task."""
-        return f"{self.cpu} {self.run_ms}"
+    def spec(self, crashing=False):
+        """Return the spec of a job, from which the stand-in worker reads what a task does."""
+        return f"{self.cpu} {self.run_ms}" + (f" {CRASHING}" if crashing else "")
 
 
 JOB_KINDS = (
@@ -93,6 +97,11 @@
 )
 
 
+def task_crashes(spec, task):
+    """Return whether a task crashes its worker: the first one of a job that is marked for it."""
+    return spec.endswith(CRASHING) and task.endswith(".0")
+
+
 def task_cpu(spec):
     """Return the thousandths of a core that a task with this spec needs."""
     return int(spec.split()[0])
@@ -172,6 +181,8 @@
         Factor of the usual rate of jobs.
     abandoned_share : float
         Share of jobs whose caller disconnects after `ABANDON_AFTER_S`.
+    crashing_share : float
+        Share of jobs that are marked with `CRASHING`.
     idle_callers : list of Caller
         Callers without a job, to be reused.
     pending : set of asyncio.Task
@@ -185,6 +196,7 @@
     stop_at: float = float("inf")
     rate_factor: float = 1.0
     abandoned_share: float = 0.0
+    crashing_share: float = 0.0
     idle_callers: list = field(factory=list)
     sessions: list = field(factory=list)
     pending: set = field(factory=set)
@@ -216,7 +228,8 @@
     async def submit(self, kind):
         """Submit one job, and again after a failed connection, 502 or 504, until the timeout."""
         now = self.clock.now()
-        job = JobRecord(f"{next(self.job_numbers):016x}", kind.spec(), kind.tasks, now)
+        spec = kind.spec(self.crashing_share > 0 and self.rng.random() < self.crashing_share)
+        job = JobRecord(f"{next(self.job_numbers):016x}", spec, kind.tasks, now)
         self.records.jobs[job.id] = job
         job.is_abandoned = self.rng.random() < self.abandoned_share
         deadline = now + (ABANDON_AFTER_S if job.is_abandoned else CALLER_TIMEOUT_S)
@@ -236,7 +249,7 @@
         address = self.balancer.addresses[caller.entry]
         sent_at = self.clock.now()
         estimate_ms = kind.run_ms * self.rng.uniform(0.6, 1.5)
-        body = encode_job(kind.spec(), kind.tasks, kind.cpu, 64, estimate_ms)
+        body = encode_job(job.spec, kind.tasks, kind.cpu, 64, estimate_ms)
         headers = {"Host": HOST, DEADLINE_HEADER: str(int((deadline - sent_at) * 1000))}
         try:
             async with asyncio.timeout(max(0.01, deadline - sent_at)):
--- a/onyxfork/workload/soak/run.py
+++ b/onyxfork/workload/soak/run.py
@@ -17,6 +17,7 @@
     CALLERS_PORT,
     CONTROL_HTTP_PORT,
     READY_PORT,
+    WORKER_CPU,
     run_cluster,
 )
 from onyxfork.workload.soak.faults import FaultInjector
@@ -169,6 +170,9 @@
         records.ended_at = clock.now()
         for worker in cluster.workers.values():
             records.runs += worker.journal
+            if not worker.guards_capacity:
+                changes = [(0.0, WORKER_CPU), *worker.capacities]
+                records.capacities[f"i-{worker.name}"] = changes
         return records, cluster.unexpected_exits
 
 
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -53,6 +53,20 @@
 LINK_KINDS = ("delay", "reset", "cut", "lose", "silence")
 WORKER_KINDS = ("crash", "reborn", "fail", "hang", "late", "mute", "shed", "slow", "leave")
 LOAD_KINDS = ("burst", "give_up", "storm", "race", "invalid")
+LATER_KINDS = ("crashing", "shrink")
+"""Kinds that are drawn from a random sequence of their own, so that the other faults of a seed stay
+the same."""
+
+CRASHING_PERIOD_SHARE = 0.5
+"""Probability that a schedule has a period of jobs that crash workers."""
+
+MIN_CRASHING_SHARE, MAX_CRASHING_SHARE = 0.02, 0.1
+"""Share of such jobs during the period."""
+
+MEAN_SHRINK_INTERVAL_S = 4.0
+MIN_SHRINK_FACTOR, MAX_SHRINK_FACTOR = 1.5, 8.0
+"""Mean time between two shrinks of a worker's capacity, and factor by which it shrinks."""
+
 PLANNED_KINDS = (
     "term",
     "hup",
@@ -66,7 +80,7 @@
 )
 UNPLANNED_KINDS = tuple(
     kind
-    for kind in (*CONTROL_KINDS, *LINK_KINDS, *WORKER_KINDS, "kill_all")
+    for kind in (*CONTROL_KINDS, *LINK_KINDS, *WORKER_KINDS, *LATER_KINDS, "kill_all")
     if kind not in PLANNED_KINDS
 )
 
@@ -112,7 +126,8 @@
         For links, the destination of the affected direction.
     amount : float
         Clock step in milliseconds (``step_clock``), delay in seconds (``delay``), or factor of run
-        times (``slow``) or of the rate of jobs (``burst``); other kinds do not use it.
+        times (``slow``) or of the rate of jobs (``burst``), divisor of the capacity (``shrink``),
+        or share of jobs (``crashing``); other kinds do not use it.
     """
 
     at_s: float
@@ -219,7 +234,25 @@
     kill_all = Fault(seconds, "kill_all", amount=0.0, duration_s=1.0)
     if draw.rng.random() < KILL_ALL_SHARE and draw.is_allowed(kill_all):
         draw.faults.append(kill_all)
-    return sorted(draw.faults, key=lambda fault: fault.at_s)
+    faults = [*draw.faults, *draw_later_faults(Random(f"{seed} later"), seconds, size)]
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def draw_later_faults(rng, seconds, size):
+    """Draw the faults of `LATER_KINDS`."""
+    faults = []
+    if rng.random() < CRASHING_PERIOD_SHARE:
+        at_s = rng.uniform(WARM_UP_S, seconds)
+        share = rng.uniform(MIN_CRASHING_SHARE, MAX_CRASHING_SHARE)
+        duration_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        faults.append(Fault(at_s, "crashing", duration_s=duration_s, amount=share))
+    at_s = WARM_UP_S
+    while (at_s := at_s + rng.expovariate(1 / MEAN_SHRINK_INTERVAL_S)) < seconds:
+        fault = Fault(at_s, "shrink", rng.choice(size.names("agent")))
+        fault.duration_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        fault.amount = rng.uniform(MIN_SHRINK_FACTOR, MAX_SHRINK_FACTOR)
+        faults.append(fault)
+    return faults
 
 
 def add_repeats(draw, first):
--- a/tests/workload/soak/test_checks.py
+++ b/tests/workload/soak/test_checks.py
@@ -6,6 +6,7 @@
 from onyxfork.workload.soak.checks import (
     MAX_APPLY_DELAY_S,
     MAX_START_AFTER_DRAIN_S,
+    SHRINK_GRACE_S,
     ConfigurationRecord,
     JobRecord,
     SoakRecords,
@@ -70,6 +71,22 @@
     records.drains.append(("i-1", 51.0 - MAX_START_AFTER_DRAIN_S))
 
 
+def task_started_again_and_again_after_crashes(records):
+    records.runs += [
+        make_run(10.0 + number, 10.5 + number, "crashed", number, f"i-w-{number}", index=5)
+        for number in range(6)
+    ]
+
+
+def start_over_a_shrunk_capacity(records):
+    records.capacities["i"] = [(0.0, 32000), (51.0 - SHRINK_GRACE_S, 6000)]
+
+
+def failure_after_one_crash(records):
+    records.jobs[JOB].state = "failed"
+    records.runs.append(make_run(10.0, 10.5, "crashed"))
+
+
 def invalid_configuration_acknowledged(records):
     records.configurations.append(
         ConfigurationRecord(4, b"bad", 20.0, acked_at=20.1, status=200, valid=False)
@@ -110,6 +127,9 @@
         (completed_answer_with_a_failed_task, "partial answer"),
         (failure_without_a_failed_run, "false failure"),
         (start_on_a_draining_worker, "start on a draining worker"),
+        (task_started_again_and_again_after_crashes, "crashing task"),
+        (start_over_a_shrunk_capacity, "over capacity"),
+        (failure_after_one_crash, "false failure"),
         (invalid_configuration_acknowledged, "invalid configuration"),
         (old_configuration_read, "old configuration"),
         (read_with_other_content, "other content"),
@@ -129,3 +149,13 @@
     request_cut_by_a_planned_stop(records)
     records.unplanned_faults.append((38.0, 39.0))
     assert find_violations(records) == []
+
+
+def test_start_is_allowed_while_a_shrink_may_be_unknown_and_two_starts_after_three_crashes():
+    records = make_records()
+    records.capacities["i"] = [(0.0, 32000), (51.2 - SHRINK_GRACE_S, 6000)]
+    records.runs += [
+        make_run(10.0 + number, 10.5 + number, "crashed", number, f"w-{number}", index=5)
+        for number in range(5)
+    ]
+    assert find_violations(records) == []
--- a/tests/workload/soak/test_schedule.py
+++ b/tests/workload/soak/test_schedule.py
@@ -1,11 +1,14 @@
 """The schedule of a soak is reproducible and loses at most one disk at a time."""
 
+from itertools import chain
+
 import pytest
 
 from onyxfork.workload.soak.faults import FaultInjector
 from onyxfork.workload.soak.schedule import (
     CONTROL_KINDS,
     DISK_LOSS_MARGIN_S,
+    LATER_KINDS,
     LINK_KINDS,
     LOAD_KINDS,
     NODE_KINDS,
@@ -49,6 +52,7 @@
 
 def test_every_kind_is_drawn_and_can_be_injected():
     drawn = {fault.kind for seed in range(60) for fault in draw_schedule(seed, 60.0, SIZE)}
-    kinds = {*CONTROL_KINDS, *NODE_KINDS, *LINK_KINDS, *WORKER_KINDS, *LOAD_KINDS, "kill_all"}
+    groups = CONTROL_KINDS, NODE_KINDS, LINK_KINDS, WORKER_KINDS, LOAD_KINDS, LATER_KINDS
+    kinds = {*chain(*groups), "kill_all"}
     assert drawn == kinds
     assert all(hasattr(FaultInjector, f"do_{kind}") for kind in kinds)
