--- a/tests/direct/test_progress.py
+++ b/tests/direct/test_progress.py
@@ -7,6 +7,8 @@
 from builders import make_order  # noqa: E402
 from test_arbiter import kinds, make_arbiter, start_all  # noqa: E402
 
+from onyxfork.direct.placement import FAULTY_FAILURE_SHARE  # noqa: E402
+
 
 def run_with_progress(percents, age_s, ms=400.0):
     """Return an arbiter with one run for each progress in percent, read `age_s` after the start."""
@@ -32,6 +34,14 @@
     assert arbiter.failure_share > 0.5
 
 
+# Guards against a task that hangs wherever it starts and puts one healthy worker after another out
+# of service.
+def test_run_that_stalls_beside_many_that_progress_does_not_eject_its_worker():
+    arbiter = run_with_progress([0, *[24] * 9], 0.1)
+    assert stopped(arbiter) == [(0, "stalled")]
+    assert arbiter.failure_share < FAULTY_FAILURE_SHARE
+
+
 def test_run_below_the_minimum_age_goes_on():
     assert stopped(run_with_progress([0], 0.09)) == []
 
