A start that the worker's refused connection shows as unsent is returned at once

Cause: a refused connection counted as an unanswered order, which may have been carried out. It cannot have been: nothing was sent. Only refusals of the connection count, not a broken one. Tests: the HTTP client against a closed port and a server that closes; the arbiter.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -63,7 +63,8 @@
 """How long a dropped session is kept for its entry to return; jobs are shorter."""
 
 UNHEALTHY_PAUSE_S = 0.5
-"""How long no run is started after the worker has refused a start as unhealthy."""
+"""How long no run is started after the worker has refused a start as unhealthy, or refused the
+connection."""
 
 ABSENT = "absent"
 SUSPECT = "suspect"
@@ -344,8 +345,9 @@
         elif answer == "invalid":
             self.finish(run, "failed", now, "the worker could not parse the order")
         else:
-            if answer == "unhealthy":
+            if answer in ("unhealthy", "unsent"):
                 self.unhealthy_until = now + UNHEALTHY_PAUSE_S
+            if answer == "unhealthy":
                 self.record_outcome(failed=True)
             self.finish(run, "returned", now, answer)
 
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -176,7 +176,7 @@
                 )
             self.remove_if_finished(task.job)
             return
-        if event.reason in ("unhealthy", "unanswered", "stale"):
+        if event.reason in ("unhealthy", "unsent", "unanswered", "stale"):
             view.avoid_until = now + AVOID_WORKER_S
         self.reschedule(task, view, event.kind, event.reason)
 
--- a/onyxfork/direct/worker_client.py
+++ b/onyxfork/direct/worker_client.py
@@ -18,7 +18,8 @@
         the task with the same or a higher number is known), ``late`` (the lease has expired),
         ``fence`` (a higher fencing token is known), ``unhealthy``, ``invalid`` (the order could
         not be parsed) or ``other-lifetime``. ``unanswered`` if there was no valid answer; the
-        worker may have carried out the order, or may do so later.
+        worker may have carried out the order, or may do so later. ``unsent`` instead for an order
+        to start that certainly has not reached the worker, because it refused the connection.
     clock_ms : int or None
         The worker's monotonic clock when it answered.
     connection_lost : bool
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -196,7 +196,7 @@
             self.worker_clock.update(reply.clock_ms, sent_at, now)
             if reply.answer == "unanswered":
                 self.answer_times.record_timeout()
-            else:
+            elif reply.answer != "unsent":
                 self.answer_times.record(now - sent_at)
             if reply.answer != "fence":
                 return "started" if reply.answer == "ok" else reply.answer
--- a/onyxfork/platform/workers.py
+++ b/onyxfork/platform/workers.py
@@ -99,7 +99,7 @@
             "untilMs": until_ms,
             "fencingToken": token,
         }
-        return await self.call(Reply, "/run-start", worker, body, timeout_s)
+        return await self.call(Reply, "/run-start", worker, body, timeout_s, refused="unsent")
 
     async def stop(self, worker, ref, token, timeout_s):
         body = {"task": encode_task(ref), "run": ref.run, "fencingToken": token}
@@ -114,10 +114,13 @@
         timeout_s = wait_ms / 1000 + RENEWAL_TIMEOUT_SLACK_S
         return await self.call(LeaseReply, "/hold", worker, body, timeout_s, fresh)
 
-    async def call(self, reply_type, path, worker, body, timeout_s, fresh=False):
+    async def call(
+        self, reply_type, path, worker, body, timeout_s, fresh=False, refused="unanswered"
+    ):
         """Call the worker once; return a `reply_type`.
 
-        A timeout or a connection error gives a reply whose answer is ``unanswered``.
+        A timeout or a connection error gives a reply whose answer is ``unanswered``, a refused
+        connection one whose answer is `refused`.
         """
         # X-Expect-Instance: a worker with another identifier responds with 421.
         headers = {"X-Expect-Instance": worker.id}
@@ -126,6 +129,8 @@
                 status, response_body = await self.pool.post(
                     path, json.dumps(body).encode(), headers, fresh
                 )
+        except ConnectionRefusedError:
+            return reply_type(refused, connection_lost=True)
         except (TimeoutError, OSError) as error:
             log.debug("worker call failed", extra={"call": path, "reason": repr(error)})
             return reply_type("unanswered", connection_lost=not isinstance(error, TimeoutError))
--- a/tests/direct/test_arbiter.py
+++ b/tests/direct/test_arbiter.py
@@ -6,7 +6,11 @@
 sys.path.insert(0, str(Path(__file__).parent))
 from builders import make_order, make_worker  # noqa: E402
 
-from onyxfork.direct.arbiter import RESUME_TIMEOUT_S, Arbiter  # noqa: E402
+from onyxfork.direct.arbiter import (  # noqa: E402
+    RESUME_TIMEOUT_S,
+    UNHEALTHY_PAUSE_S,
+    Arbiter,
+)
 
 
 def make_arbiter(cpu=4000):
@@ -253,3 +257,15 @@
     arbiter.place(session, [make_order(index=index) for index in range(2)], 0.3)
     arbiter.schedule(0.3)
     assert len(arbiter.starts) == 1
+
+
+# Guards against runs that wait for the end of a lease although their worker never received them.
+def test_unsent_start_is_returned_at_once_and_pauses_further_starts():
+    arbiter, session = make_arbiter()
+    arbiter.place(session, [make_order()], 0.0)
+    start_all(arbiter, 0.0, "unsent")
+    assert kinds(session) == [(0, "returned")]
+    assert arbiter.failure_share == 0.0
+    arbiter.place(session, [make_order(index=1)], 0.1)
+    assert start_all(arbiter, 0.1) == []
+    assert len(start_all(arbiter, 0.1 + UNHEALTHY_PAUSE_S)) == 1
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -188,6 +188,8 @@
     async with open_worker_client(free_address()) as client:
         reply = await client.renew_lease(make_worker(), None, 1, 0, 0, True)
         assert reply.answer == "unanswered"
+        stop = await client.stop(make_worker(), make_order().ref, 1, 1.0)
+        assert (stop.answer, stop.connection_lost) == ("unanswered", True)
 
     async def handle(_):
         return Response(body=b"{{")
@@ -197,6 +199,21 @@
         assert (await client.stop(make_worker(), make_order().ref, 1, 1.0)).answer == "unanswered"
 
 
+async def test_start_is_unsent_only_if_the_connection_was_refused():
+    async with open_worker_client(free_address()) as client:
+        reply = await client.start(make_worker(), make_order(), 500, 1, 1.0)
+        assert reply.answer == "unsent"
+
+    def close_connection(reader, writer):
+        writer.close()
+
+    address = free_address()
+    server = await asyncio.start_server(close_connection, *address.host_and_port)
+    async with server, open_worker_client(address) as client:
+        reply = await client.start(make_worker(), make_order(), 500, 1, 1.0)
+        assert (reply.answer, reply.connection_lost) == ("unanswered", True)
+
+
 REPORT = {
     "service": "s",
     "state": "ready",
