--- a/tests/direct/fleet.py
+++ b/tests/direct/fleet.py
@@ -15,7 +15,7 @@
 
 QUEUE = Queue("checks", "h.example", "/c/", "desk", 0, 3, 1.6, 60.0, 1500.0)
 CORES, TASK_CORES = 32, 5
-CRASH_DELAY_S, LEASE_S, RETURN_S = 0.01, 1.08, 3.0
+LEASE_S, RETURN_S = 1.08, 3.0
 RESEND_S = 1.3
 TASKS_PER_WORKER = CORES // TASK_CORES
 LINK_S, REPORT_S, TICK_S, REVIEW_S = 0.002, 0.02, 0.02, 0.1
@@ -42,6 +42,8 @@
         Latest outcome of each job that has ended.
     crashing : set of str
         Jobs whose first task crashes each worker that starts it.
+    crash_delay_s : float
+        Time from the start of such a task to the crash.
     starts : dict of str to list of float
         For each of these jobs, when its first task was started.
     down : set of str
@@ -50,7 +52,7 @@
 
     def __init__(self, entries, agents, zones=4, use_subsets=True, seed=1, caller_timeout_ms=6e3):
         self.now = 0.0
-        self.caller_timeout_ms = caller_timeout_ms
+        self.caller_timeout_ms, self.crash_delay_s = caller_timeout_ms, 0.01
         self.events, self.sequence = [], count()
         self.rng = Random(seed)
         self.use_subsets = use_subsets
@@ -175,7 +177,7 @@
             self.at(float(run.order.spec) / 1000, self.end, agent, run.order.ref)
             if run.order.job in self.crashing and not run.order.index:
                 self.starts.setdefault(run.order.job, []).append(self.now)
-                self.at(CRASH_DELAY_S, self.crash, agent)
+                self.at(self.crash_delay_s, self.crash, agent)
         stops, arbiter.stops = arbiter.stops, []
         for run in stops:
             arbiter.apply_ended_runs([(run.order.ref, "stopped")], self.now)
--- a/tests/direct/test_crashing_tasks.py
+++ b/tests/direct/test_crashing_tasks.py
@@ -26,8 +26,9 @@
         fleet.at(interval_s * number, fleet.submit, f"e{number % ENTRIES}", job, tasks, run_ms)
 
 
-def play(jobs=200, crashing_share=0.1, caller_timeout_ms=14e3, seconds=25.0, **load):
-    fleet = Fleet(ENTRIES, AGENTS, seed=3, caller_timeout_ms=caller_timeout_ms)
+def play(jobs=200, crashing_share=0.1, seed=3, crash_delay_s=0.01, seconds=25.0, **load):
+    fleet = Fleet(ENTRIES, AGENTS, seed=seed, caller_timeout_ms=14e3)
+    fleet.crash_delay_s = crash_delay_s
     offer(fleet, jobs, crashing_share, **load)
     fleet.run(seconds)
     return fleet
@@ -43,6 +44,15 @@
     assert set(answered) <= {"failed", "refused", "unknown"}
 
 
+# Guards against the same for a task that crashes its worker only after it has run for a while.
+@pytest.mark.parametrize("crash_delay_s", [0.04, 0.2, 1.0])
+@pytest.mark.parametrize("seed", [3, 4, 5])
+def test_task_that_crashes_late_is_started_a_bounded_number_of_times(crash_delay_s, seed):
+    fleet = play(jobs=100, run_ms=1500, interval_s=0.1, crash_delay_s=crash_delay_s, seed=seed)
+    most = max(len(starts) for starts in fleet.starts.values())
+    assert most <= 3 + MAX_STARTS_AFTER_THREE_CRASHES
+
+
 # Guards against jobs given up because their tasks ran beside the one that crashes workers.
 @pytest.mark.parametrize("run_ms", [150, 1500])
 def test_jobs_beside_a_crashing_task_are_not_given_up(run_ms):
