Crashes right after a worker's return are dated anew; a done task fails no job

The silence of one lifetime stayed set when the next began, so that a crash before its first answered renewal was dated before the runs that it ended, and not counted. A count that arrives late for a task that is done could fail its job. Two tests failed before (a count of none; outcome failed) and pass now.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -207,6 +207,7 @@
         self.failure_share = 0.0
         self.log_run_time_ratio = 0.0
         self.unhealthy_until = 0.0
+        self.last_answer_at, self.silence = now, None
 
     def set_responsive(self, responsive, now):
         """Set whether the worker answers; return queued runs if it does not."""
--- a/onyxfork/direct/crashes.py
+++ b/onyxfork/direct/crashes.py
@@ -171,10 +171,11 @@
         return [count for count, _ in self.counts.values()]
 
     def apply_to(self, job):
-        """Set the counts of the tasks of a new job."""
-        if not self.counts:
-            return
-        for task in job.tasks:
+        """Set the counts of the tasks of a new job; return whether there are any."""
+        found = False
+        for task in job.tasks if self.counts else ():
             entry = self.counts.get((job.id, task.step, task.index))
             if entry is not None:
                 task.record_crashes(entry[0])
+                found = True
+        return found
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -145,8 +145,7 @@
             or why it is refused.
         """
         job = make_job(request, now, self.estimates)
-        self.crash_table.apply_to(job)
-        if self.fail_if_exhausted(job):
+        if self.crash_table.apply_to(job) and self.fail_if_exhausted(job):
             return job
         refusal = self.find_refusal(job, now)
         if refusal is not None:
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -92,7 +92,7 @@
     def fail_if_exhausted(self, job):
         """Fail a job if a task of it has crashed too many workers; return whether it has."""
         for task in job.tasks:
-            if is_exhausted(task):
+            if task.state != DONE and is_exhausted(task):
                 reason = (
                     f"task {task.step}.{task.index} ran in {task.crashes} crashes of workers, and "
                     f"had just started in {task.suspected}"
--- a/tests/direct/test_crashes.py
+++ b/tests/direct/test_crashes.py
@@ -111,6 +111,18 @@
     assert crash(arbiter, 2.0) == {"young": (1, 1), "again": (2, 1)}
 
 
+# Guards against a second crash that is dated to the first one, before the runs that it ended.
+def test_crash_right_after_the_return_of_a_worker_is_counted():
+    arbiter, session = make_arbiter()
+    place(arbiter, session, 1.0, job="first")
+    arbiter.on_renewal_missed(1.01, 1.01)
+    arbiter.apply_worker_report(make_worker(born_ms=2, id="w2"), 1.05)
+    arbiter.crash_counts = []
+    place(arbiter, session, 1.06, job="second")
+    arbiter.apply_worker_report(make_worker(born_ms=3, id="w3"), 1.09)
+    assert [(count.job, count.suspected) for count in arbiter.crash_counts] == [("second", 1)]
+
+
 def test_worker_that_left_as_planned_is_not_counted_as_crashed():
     arbiter, session = make_arbiter()
     place(arbiter, session, 1.0, job="job")
@@ -214,6 +226,15 @@
     assert not dispatcher.jobs and not take_orders(dispatcher)
 
 
+def test_late_count_of_a_task_that_is_done_does_not_fail_its_job():
+    dispatcher = make_dispatcher()
+    job = dispatcher.submit(make_request(tasks=2), 0.0)
+    done, _ = take_orders(dispatcher)["s1"]
+    dispatcher.on_events("s1", [make_event(done, "started"), make_event(done, "done")], 0.1)
+    dispatcher.on_crash_report([CrashCount(job.id, 0, done.index, 2, 2)], 0.2)
+    assert job.outcome is None
+
+
 def test_next_order_of_a_lost_task_carries_its_crashes():
     dispatcher = make_dispatcher(("s1", "s2"))
     job = dispatcher.submit(make_request(tasks=1), 0.0)
