--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -172,6 +172,37 @@
         job.cancel()
 
 
+class CrashingWorker(StandInWorker):
+    """Worker that crashes as soon as it has started a run."""
+
+    async def start(self, worker, order, until_ms, token, timeout_s):
+        self.started.append(order.ref)
+        self.responsive = False
+        self.run_ended.set()
+        return Reply("ok", 1000)
+
+
+# Guards against a task that crashes its worker again and again until its caller leaves.
+async def test_task_that_crashes_its_worker_twice_fails_its_job():
+    worker = CrashingWorker()
+    async with run_path(worker) as (entry, agent):
+        request = make_request(tasks=1, ms=5000.0)
+        request.caller_timeout_ms = 1000 * TIMEOUT_S
+        job = asyncio.create_task(entry.run_job(request))
+        await until(lambda: worker.started)
+        await until(lambda: agent.arbiter.crash_table.counts)
+        agent.on_worker_report(make_worker(id="w2", born_ms=2))
+        worker.responsive = True
+        async with asyncio.timeout(TIMEOUT_S):
+            outcome = await job
+        assert (outcome.state, len(worker.started)) == ("failed", 2)
+        assert "2 crashes" in outcome.reason
+        again = await entry.run_job(make_request(tasks=1, ms=5000.0))
+        assert (again.state, len(worker.started)) == ("failed", 2)
+        text, _ = entry.telemetry.render()
+        assert b"onyxfork_worker_crashes_total" in text
+
+
 class SlowReplyWorker(StandInWorker):
     """Worker that answers orders to start only once `may_answer` is set."""
 
