A refusal for lack of capacity holds until the worker's next report

Cause: the agent computed free capacity from the report alone and learnt nothing from the worker's refusals. Fix: a refusal lowers the usable capacity below what it was refused at, until the next report; entries see it in the status.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -110,6 +110,9 @@
         When `schedule` has to be called again, because a run has to start apart from others.
     starts, stops : list of Run
         Runs that the driver has to start or stop next.
+    cpu_limit : int
+        Thousandths of a core that runs may use: the reported capacity, or less if the worker has
+        refused a run for lack of capacity since.
     log_run_time_ratio : float
         Moving average of the logarithm of run times over their estimates.
     failure_share : float
@@ -142,6 +145,7 @@
         self.wake_at = None
         self.starts = []
         self.stops = []
+        self.cpu_limit = 0
         self.cpu_used = self.memory_used = self.gpu_used = 0
         self.cpu_queued = self.memory_queued = self.gpu_queued = 0
         self.log_run_time_ratio = 0.0
@@ -187,6 +191,7 @@
             if not same_lifetime:
                 self.on_lifetime_lost("a new lifetime of the worker has begun", now)
         self.worker = worker
+        self.cpu_limit = worker.cpu
         self.changed = True
         if worker.state != READY:
             self.return_queued("draining", now)
@@ -200,6 +205,7 @@
         if self.worker is not None:
             self.ended_lifetimes.append((self.worker.id, self.worker.started_ms))
         self.worker = None
+        self.cpu_limit = 0
         self.changed = True
         for run in list(self.runs.values()):
             kind = "returned" if run.state == QUEUED else "lost"
@@ -281,7 +287,7 @@
         """Return whether the worker has enough free capacity for a task, queued runs aside."""
         worker = self.worker
         return (
-            self.cpu_used + order.cpu <= worker.cpu
+            self.cpu_used + order.cpu <= self.cpu_limit
             and self.memory_used + order.memory_mb <= worker.memory_mb
             and self.gpu_used + order.gpu <= worker.gpu
         )
@@ -351,6 +357,9 @@
             if answer == "unhealthy":
                 self.record_outcome(failed=True)
             self.finish(run, "returned", now, answer)
+            if answer == "room":
+                # The capacity has shrunk; the worker's next report tells by how much.
+                self.cpu_limit = min(self.cpu_limit, self.cpu_used + run.order.cpu - 1)
 
     def on_stop_reply(self, run, now):
         """Record that the worker has acknowledged a stop: the run ends or never starts."""
@@ -439,7 +448,8 @@
         """Return whether less than `min_free_share` of the cores is free; true if not ready."""
         if self.state != READY:
             return True
-        return self.worker.cpu - self.cpu_used - self.cpu_queued < min_free_share * self.worker.cpu
+        cpu_free = self.cpu_limit - self.cpu_used - self.cpu_queued
+        return cpu_free < min_free_share * self.worker.cpu
 
     def status(self, session, now):
         """Return the status report for one entry."""
@@ -452,7 +462,7 @@
             cpu,
             memory,
             gpu,
-            cpu - self.cpu_used - self.cpu_queued,
+            self.cpu_limit - self.cpu_used - self.cpu_queued,
             memory - self.memory_used - self.memory_queued,
             gpu - self.gpu_used - self.gpu_queued,
             session.orders_received,
--- a/tests/direct/fleet.py
+++ b/tests/direct/fleet.py
@@ -5,6 +5,8 @@
 from itertools import count
 from random import Random
 
+from attrs import evolve
+
 from onyxfork.direct.admission import Refusal
 from onyxfork.direct.arbiter import Arbiter
 from onyxfork.direct.configuration import Queue
@@ -48,6 +50,10 @@
         For each of these jobs, when its first task was started.
     down : set of str
         Agents whose worker does not answer.
+    capacities : dict of str to int
+        Thousandths of a core of the workers that have shrunk, by agent.
+    rejected : int
+        Starts that a worker has refused for lack of capacity.
     """
 
     def __init__(self, entries, agents, zones=4, use_subsets=True, seed=1, caller_timeout_ms=6e3):
@@ -59,6 +65,7 @@
         self.on_time = self.late = self.refused = self.refused_with_room = 0
         self.agents, self.dirty = {}, set()
         self.outcomes, self.crashing, self.starts, self.down = {}, set(), {}, set()
+        self.capacities, self.rejected = {}, 0
         self.lifetimes, self.incarnations, self.submitted = count(2), count(2), {}
         self.zones = {f"a{number}": f"z{number % zones}" for number in range(agents)}
         self.labels = {
@@ -173,6 +180,10 @@
             if agent in self.down:
                 arbiter.on_start_reply(run, "unanswered", self.now)
                 continue
+            if not self.has_room(agent, run):
+                self.rejected += 1
+                arbiter.on_start_reply(run, "room", self.now)
+                continue
             arbiter.on_start_reply(run, "started", self.now)
             self.at(float(run.order.spec) / 1000, self.end, agent, run.order.ref)
             if run.order.job in self.crashing and not run.order.index:
@@ -190,6 +201,23 @@
                 self.at(LINK_S, self.on_events, session.entry, agent, events)
         self.dirty.add(agent)
 
+    def has_room(self, agent, run):
+        """Return whether a run fits the present capacity of its worker."""
+        running = [other for other in self.agents[agent].runs.values() if other.has_started]
+        used = sum(other.order.cpu for other in running)
+        return used + run.order.cpu <= self.capacities.get(agent, CORES * 1000)
+
+    def shrink(self, agent, cpu, report_delay_s):
+        """Change a worker's capacity, which it reports later."""
+        self.capacities[agent] = cpu
+        self.at(report_delay_s, self.report_capacity, agent)
+
+    def report_capacity(self, agent):
+        current = self.agents[agent].worker
+        worker = evolve(current, cpu=self.capacities[agent], sequence=current.sequence + 1)
+        self.agents[agent].apply_worker_report(worker, self.now)
+        self.step(agent)
+
     def end(self, agent, ref):
         if agent in self.down:
             return
--- a/tests/direct/test_arbiter.py
+++ b/tests/direct/test_arbiter.py
@@ -269,3 +269,25 @@
     arbiter.place(session, [make_order(index=1)], 0.1)
     assert start_all(arbiter, 0.1) == []
     assert len(start_all(arbiter, 0.1 + UNHEALTHY_PAUSE_S)) == 1
+
+
+# Guards against starts that a worker refuses one after another until it reports its new capacity.
+def test_refusal_for_lack_of_capacity_holds_until_a_run_ends_or_the_next_report():
+    arbiter, session = make_arbiter(cpu=8000)
+    arbiter.place(session, [make_order(index=index, cpu=2000) for index in range(4)], 0.0)
+    arbiter.schedule(0.0)
+    first, second, third, fourth = arbiter.starts
+    arbiter.on_start_reply(first, "started", 0.0)
+    arbiter.on_start_reply(second, "started", 0.0)
+    arbiter.on_start_reply(third, "room", 0.0)
+    arbiter.on_start_reply(fourth, "room", 0.0)
+    arbiter.starts = []
+    assert arbiter.status(session, 0.0).cpu_free < 2000
+    arbiter.place(session, [make_order(index=5, cpu=2000)], 0.1)
+    arbiter.schedule(0.1)
+    assert arbiter.starts == []
+    arbiter.apply_ended_runs([(first.order.ref, "done")], 0.2)
+    arbiter.schedule(0.2)
+    assert [run.order.index for run in arbiter.starts] == [5]
+    arbiter.apply_worker_report(make_worker(cpu=8000, sequence=2), 0.3)
+    assert arbiter.status(session, 0.3).cpu_free == 4000
