--- a/tests/direct/fleet.py
+++ b/tests/direct/fleet.py
@@ -1,6 +1,7 @@
 """A fleet without a network: dispatchers and arbiters that exchange messages with a fixed delay."""
 
 import heapq
+from collections import Counter
 from copy import deepcopy
 from itertools import count
 from random import Random
@@ -51,13 +52,28 @@
     down : set of str
         Agents whose worker does not answer.
     capacities : dict of str to int
-        Thousandths of a core of the workers that have shrunk, by agent.
+        Thousandths of a core of the workers that differ from `CORES`, by agent.
+    speeds : dict of str to float
+        Speeds of the workers that differ from 1, by agent: a task of 100 ms takes 125 ms at 0.8.
+    counts : Counter
+        Outcomes of jobs (``on time``, ``late`` or ``refused``) by queue, as (queue, outcome).
     rejected : int
         Starts that a worker has refused for lack of capacity.
     """
 
-    def __init__(self, entries, agents, zones=4, use_subsets=True, seed=1, caller_timeout_ms=6e3):
+    def __init__(
+        self,
+        entries,
+        agents,
+        zones=4,
+        use_subsets=True,
+        seed=1,
+        caller_timeout_ms=6e3,
+        capacities=(),
+        speeds=(),
+    ):
         self.now = 0.0
+        self.counts = Counter()
         self.caller_timeout_ms, self.crash_delay_s = caller_timeout_ms, 0.01
         self.events, self.sequence = [], count()
         self.rng = Random(seed)
@@ -65,7 +81,7 @@
         self.on_time = self.late = self.refused = self.refused_with_room = 0
         self.agents, self.dirty = {}, set()
         self.outcomes, self.crashing, self.starts, self.down = {}, set(), {}, set()
-        self.capacities, self.rejected = {}, 0
+        self.capacities, self.speeds, self.rejected = dict(capacities), dict(speeds), 0
         self.lifetimes, self.incarnations, self.submitted = count(2), count(2), {}
         self.zones = {f"a{number}": f"z{number % zones}" for number in range(agents)}
         self.labels = {
@@ -74,7 +90,8 @@
         for name in self.zones:
             self.agents[name] = arbiter = Arbiter()
             labels = sorted(self.labels[name])
-            worker = Worker(name, 1, "desk", "ready", CORES * 1000, 131072, 0, labels, 1)
+            cpu = self.capacity(name)
+            worker = Worker(name, 1, "desk", "ready", cpu, 131072, 0, labels, 1)
             arbiter.apply_worker_report(worker, 0.0)
             arbiter.on_renewal_answered(0.0)
         self.entries = {
@@ -119,13 +136,17 @@
             self.connect(name, latest[:4])
         self.at(REVIEW_S, self.review)
 
+    def capacity(self, agent):
+        """Return the present capacity of a worker in thousandths of a core."""
+        return self.capacities.get(agent, CORES * 1000)
+
     # Load
 
-    def submit(self, name, job, tasks, run_ms, rack=""):
+    def submit(self, name, job, tasks, run_ms, rack="", queue=QUEUE, cpu=TASK_CORES * 1000):
         """Submit a job whose tasks run for `run_ms`; the caller's estimate is up to 40 % off."""
         estimate = run_ms * self.rng.uniform(0.7, 1.4)
-        step = Step(count=tasks, cpu=TASK_CORES * 1000, expected_ms=estimate, rack=rack)
-        request = JobRequest(job, QUEUE, str(run_ms), [step], self.caller_timeout_ms)
+        step = Step(count=tasks, cpu=cpu, expected_ms=estimate, rack=rack)
+        request = JobRequest(job, queue, str(run_ms), [step], self.caller_timeout_ms)
         self.send(name, request, run_ms)
 
     def send(self, name, request, run_ms):
@@ -135,15 +156,21 @@
         objective_s = (QUEUE.stretch * run_ms + QUEUE.objective_ms) / 1000
         result = self.entries[name].submit(request, self.now)
         if isinstance(result, Refusal):
-            self.count_refusal()
+            self.count_refusal(request.queue)
         else:
             self.due[job] = self.now + objective_s
         self.flush(name)
 
-    def count_refusal(self):
+    def count_refusal(self, queue):
         self.refused += 1
+        self.counts[queue.name, "refused"] += 1
         used = sum(arbiter.cpu_used for arbiter in self.agents.values())
-        self.refused_with_room += used < 0.8 * CORES * 1000 * len(self.agents)
+        self.refused_with_room += used < 0.8 * sum(map(self.capacity, self.agents))
+
+    def share_on_time(self, queue):
+        """Return the share of the jobs of a queue that have been answered in their objective."""
+        ended = sum(self.counts[queue.name, kind] for kind in ("on time", "late", "refused"))
+        return self.counts[queue.name, "on time"] / ended
 
     # Messages
 
@@ -156,12 +183,15 @@
         finished, dispatcher.finished_jobs = dispatcher.finished_jobs, []
         for job in finished:
             self.outcomes[job.id] = job.outcome.state
+            queue = job.request.queue
             if job.outcome.state == "refused":
-                self.count_refusal()
+                self.count_refusal(queue)
             elif job.outcome.state == "completed" and self.now <= self.due[job.id]:
                 self.on_time += 1
+                self.counts[queue.name, "on time"] += 1
             else:
                 self.late += 1
+                self.counts[queue.name, "late"] += 1
 
     def deliver(self, kind, name, agent, items):
         arbiter, session = self.agents[agent], self.sessions[name, agent]
@@ -185,7 +215,8 @@
                 arbiter.on_start_reply(run, "room", self.now)
                 continue
             arbiter.on_start_reply(run, "started", self.now)
-            self.at(float(run.order.spec) / 1000, self.end, agent, run.order.ref)
+            run_s = float(run.order.spec) / 1000 / self.speeds.get(agent, 1.0)
+            self.at(run_s, self.end, agent, run.order.ref)
             if run.order.job in self.crashing and not run.order.index:
                 self.starts.setdefault(run.order.job, []).append(self.now)
                 self.at(self.crash_delay_s, self.crash, agent)
@@ -205,7 +236,7 @@
         """Return whether a run fits the present capacity of its worker."""
         running = [other for other in self.agents[agent].runs.values() if other.has_started]
         used = sum(other.order.cpu for other in running)
-        return used + run.order.cpu <= self.capacities.get(agent, CORES * 1000)
+        return used + run.order.cpu <= self.capacity(agent)
 
     def shrink(self, agent, cpu, report_delay_s):
         """Change a worker's capacity, which it reports later."""
@@ -249,7 +280,9 @@
         self.down.discard(agent)
         lifetime = next(self.lifetimes)
         labels = sorted(self.labels[agent])
-        worker = Worker(f"{agent}-{lifetime}", lifetime, "desk", "ready", CORES * 1000, 131072, 0)
+        worker = Worker(
+            f"{agent}-{lifetime}", lifetime, "desk", "ready", self.capacity(agent), 131072, 0
+        )
         worker.labels, worker.sequence = labels, 1
         arbiter.apply_worker_report(worker, self.now)
         arbiter.on_renewal_answered(self.now)
