Command losses: jobs not answered within their objective, by cause

Change: `job accepted`, `job refused` and `job ended` carry size_core_ms and priority; `job ended` also slack_ms, first_start_ms, last_end_ms and the order, start, expected run time, started runs and worker's run time ratio of the task that ended last.

--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -173,6 +173,9 @@
             "outcome": REFUSED,
             "reason": refusal.reason,
             "retry_after_ms": round(refusal.retry_after_ms),
+            "first_start_ms": None,
+            "last_end_ms": None,
+            "runs": 0,
         }
         log.info("job refused", extra={**self.admission_log_fields(request), **fields})
         self.telemetry.count("jobs", queue=request.queue.name, state=REFUSED)
@@ -188,6 +191,8 @@
             "workers_ready": sum(view.is_ready for view in views),
             "tasks_waiting": len(self.dispatcher.waiting_tasks),
             "cores_running": self.dispatcher.millicores_in_use / 1000,
+            "size_core_ms": round(request.size_core_ms),
+            "priority": request.queue.priority,
         }
 
     # Agents
@@ -316,18 +321,23 @@
         now = self.clock.now()
         outcome, queue = job.outcome, job.request.queue.name
         elapsed_ms = (now - job.arrived_at) * 1000
-        placed = job.first_placed_at
         fields = {
             "job": job.id,
             "queue": queue,
             "outcome": outcome.state,
             "reason": outcome.reason,
             "elapsed_ms": round(elapsed_ms, 1),
-            "placed_ms": None if placed is None else round((placed - job.arrived_at) * 1000, 1),
+            "placed_ms": since_arrival_ms(job, job.first_placed_at),
             "objective_ms": round((job.due_at - job.arrived_at) * 1000),
             "tasks": len(job.tasks),
             "runs": sum(task.run for task in job.tasks),
             "configuration": self.control.document.version if self.control.document else 0,
+            "size_core_ms": round(job.request.size_core_ms),
+            "priority": job.request.queue.priority,
+            "slack_ms": round((min(map(job.latest_start, job.tasks)) - job.arrived_at) * 1000),
+            "first_start_ms": since_arrival_ms(job, job.first_started_at),
+            "last_end_ms": since_arrival_ms(job, job.last_ended_at),
+            **self.last_task_log_fields(job),
         }
         log.info("job ended", extra=fields)
         self.telemetry.count("jobs", queue=queue, state=outcome.state)
@@ -336,6 +346,25 @@
         if future is not None and not future.done():
             future.set_result(outcome)
 
+    def last_task_log_fields(self, job):
+        """Return log fields about the task that ended last, which decides when the job ends.
+
+        Order and start are those of its latest run; `last_pace` is the run time ratio that its
+        worker reported last.
+        """
+        task = job.last_ended_task
+        if task is None:
+            return {}
+        view = self.dispatcher.workers.get(task.worker)
+        status = view.status if view is not None else None
+        return {
+            "last_placed_ms": since_arrival_ms(job, task.placed_at),
+            "last_start_ms": since_arrival_ms(job, task.started_at or None),
+            "last_expected_ms": round(task.expected_ms, 1),
+            "last_started_runs": task.started_runs,
+            "last_pace": round(status.run_time_ratio, 2) if status is not None else None,
+        }
+
     # Time
 
     async def run_ticks(self):
@@ -395,6 +424,11 @@
         log.warning("stopped with jobs in progress", extra={"jobs": len(self.answer_futures)})
 
 
+def since_arrival_ms(job, at):
+    """Return the milliseconds from a job's arrival to `at` (monotonic seconds); None for None."""
+    return None if at is None else round((at - job.arrived_at) * 1000, 1)
+
+
 @asynccontextmanager
 async def run_entry(entry):
     """Run an entry while the context is open.
--- a/onyxfork/direct/jobs.py
+++ b/onyxfork/direct/jobs.py
@@ -45,6 +45,8 @@
     crashes, suspected : int
         Workers that have crashed while they ran the task, and those of them in whose crash it is a
         suspect.
+    started_runs : int
+        Runs of which a start event has arrived.
     """
 
     job: "Job"
@@ -64,6 +66,7 @@
     recalled: bool = False
     crashes: int = 0
     suspected: int = 0
+    started_runs: int = 0
 
     def record_crashes(self, count):
         """Raise the numbers of crashes to those of a `CrashCount`."""
@@ -121,6 +124,10 @@
         Monotonic seconds at which the first run was ordered.
     latest_worker : str
         Node of the agent that was sent the latest order.
+    first_started_at, last_ended_at : float or None
+        Monotonic seconds of the first start event of a run and of the latest event that ends one.
+    last_ended_task : Task or None
+        The task of that latest event.
     """
 
     id: str
@@ -134,6 +141,27 @@
     outcome: object = None
     first_placed_at: float | None = None
     latest_worker: str = ""
+    first_started_at: float | None = None
+    last_ended_at: float | None = None
+    last_ended_task: Task | None = None
+
+    def record_event(self, task, kind, now):
+        """Record when runs start and end, for the log line that explains a late answer.
+
+        Parameters
+        ----------
+        task : Task
+        kind : str
+            Kind of the `TaskEvent`.
+        now : float
+            Monotonic seconds.
+        """
+        if kind == "started":
+            task.started_runs += 1
+            if self.first_started_at is None:
+                self.first_started_at = now
+        elif kind != "returned":
+            self.last_ended_at, self.last_ended_task = now, task
 
     @property
     def may_have_started(self):
--- a/onyxfork/direct/requests.py
+++ b/onyxfork/direct/requests.py
@@ -67,6 +67,11 @@
     steps: list[Step]
     caller_timeout_ms: float
 
+    @property
+    def size_core_ms(self):
+        """Core-milliseconds of all tasks by the caller's estimate."""
+        return sum(step.count * step.cpu * step.expected_ms for step in self.steps) / 1000
+
 
 @define(slots=True)
 class JobOutcome:
--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -311,6 +311,16 @@
     return EXIT_REFUSED if failed else 0
 
 
+def losses(*logs: Path):
+    """Print which jobs were not answered within their latency objective, and why.
+
+    :param logs: logs of entries; text before the first brace of a line, as a time, is allowed
+    """
+    from onyxfork.workload.losses import losses_text, read_logs
+
+    print(losses_text(read_logs(logs)))
+
+
 COMMANDS = {
     "entry": entry,
     "agent": agent,
@@ -324,6 +334,7 @@
     "bench-control": bench_control,
     "bench-capacity": bench_capacity,
     "soak": soak,
+    "losses": losses,
 }
 
 
