Fluid bound: unavoidable and avoidable loss beside the causes

Cause: a table of losses does not tell which of them any dispatcher would have had at the same capacity.

--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -311,14 +311,28 @@
     return EXIT_REFUSED if failed else 0
 
 
-def losses(*logs: Path):
+def losses(*logs: Path, capacity: float | None = None, capacity_changes: Path | None = None):
     """Print which jobs were not answered within their latency objective, and why.
 
     :param logs: logs of entries; text before the first brace of a line, as a time, is allowed
+    :param capacity: cores times speed of the fleet, to print what any dispatcher could have served
+    :param capacity_changes: file with a line "from_s cores" for each change of the capacity
     """
+    from onyxfork.workload.fluid_bound import CapacityTimeline, bound_text
     from onyxfork.workload.losses import losses_text, read_logs
 
-    print(losses_text(read_logs(logs)))
+    if not logs:
+        raise SettingsError(["LOGS: expected at least one file"])
+    if capacity is None and capacity_changes is not None:
+        raise SettingsError(["--capacity-changes: needs --capacity, which holds before the first"])
+    timeline = None
+    if capacity is not None:
+        timeline = CapacityTimeline.from_config(capacity, capacity_changes)
+    job_log = read_logs(logs)
+    print(losses_text(job_log))
+    if timeline is not None:
+        print()
+        print(bound_text(job_log, timeline))
 
 
 COMMANDS = {
