--- a/onyxfork/workload/fluid_bound.py
+++ b/onyxfork/workload/fluid_bound.py
@@ -201,6 +201,15 @@
     return tabulate(rows, headers=[title, *columns], tablefmt="github")
 
 
+def count_exceeded(arrivals):
+    """Return in how many intervals more was served on time than the bound."""
+    rows = [
+        bound_row(start, group)
+        for start, group in group_by(arrivals, lambda a: a.at_s // INTERVAL_S).items()
+    ]
+    return sum(on_time > bound for _, _, bound, on_time, *_ in rows)
+
+
 def bound_text(job_log, capacity):
     """Return the bound beside what was served, by priority, queue and time of arrival, as text.
 
@@ -216,7 +225,11 @@
     arrivals = make_arrivals(job_log)
     serve(arrivals, capacity)
     left_out = len(job_log.jobs) - len(arrivals)
-    note = f"jobs without a logged size, priority or objective, left out of the bound: {left_out}"
+    note = (
+        f"jobs without a logged size, priority or objective, left out of the bound: {left_out}; "
+        f"intervals in which more was served on time than the bound, so that the capacity given is "
+        f"too low or sizes are estimated too high: {count_exceeded(arrivals)}"
+    )
     if not arrivals:
         return note
     tables = (
--- a/tests/workload/test_fluid_bound.py
+++ b/tests/workload/test_fluid_bound.py
@@ -5,7 +5,13 @@
 import pytest
 
 from onyxfork.errors import SettingsError
-from onyxfork.workload.fluid_bound import Arrival, CapacityTimeline, bound_row, serve
+from onyxfork.workload.fluid_bound import (
+    Arrival,
+    CapacityTimeline,
+    bound_row,
+    count_exceeded,
+    serve,
+)
 
 
 def make_arrival(at, core_ms, priority=0, window=1.0, **answer):
@@ -67,6 +73,7 @@
     assert bound_row("x", arrivals) == ["x", 1200, 1000, 600, 300, 200, 400]
     served(arrivals := [make_arrival(0, 1200, on_time=True)])
     assert bound_row("x", arrivals) == ["x", 1200, 1000, 1200, 0, 0, 0]
+    assert count_exceeded([*arrivals, make_arrival(4, 10)]) == 1
 
 
 def test_capacity_file_is_read_and_its_errors_name_option_and_line(tmp_path):
--- a/tests/workload/test_losses.py
+++ b/tests/workload/test_losses.py
@@ -5,8 +5,9 @@
 import pytest
 
 from onyxfork.main import main
-from onyxfork.workload import losses
-from onyxfork.workload.losses import cause_rows, find_refusal_cause, loss_rows, read_logs
+from onyxfork.workload import loss_causes as causes
+from onyxfork.workload.loss_causes import find_refusal_cause
+from onyxfork.workload.losses import cause_rows, loss_rows, read_logs
 
 ENDED = {
     "message": "job ended",
@@ -51,27 +52,27 @@
 
 CASES = [
     ({}, ""),
-    (late(placed_ms=150.0, last_placed_ms=150.0, last_start_ms=155.0), losses.LATE_ENTRY),
-    (late(last_placed_ms=120.0, last_start_ms=125.0), losses.LATE_ENTRY),
-    (late(last_start_ms=150.0), losses.LATE_AGENT),
-    (late(last_placed_ms=140.0, last_start_ms=150.0, last_run=2), losses.LATE_AGENT),
-    (late(last_started_runs=2, placed_ms=150.0, last_placed_ms=250.0), losses.LATE_ENTRY),
-    (late(placed_ms=101.0, last_placed_ms=101.0, last_start_ms=105.0), losses.LATE_ENTRY),
+    (late(placed_ms=150.0, last_placed_ms=150.0, last_start_ms=155.0), causes.LATE_ENTRY),
+    (late(last_placed_ms=120.0, last_start_ms=125.0), causes.LATE_ENTRY),
+    (late(last_start_ms=150.0), causes.LATE_AGENT),
+    (late(last_placed_ms=140.0, last_start_ms=150.0, last_run=2), causes.LATE_AGENT),
+    (late(last_started_runs=2, placed_ms=150.0, last_placed_ms=250.0), causes.LATE_ENTRY),
+    (late(placed_ms=101.0, last_placed_ms=101.0, last_start_ms=105.0), causes.LATE_ENTRY),
     (
         late(elapsed_ms=900.0, placed_ms=101.0, last_placed_ms=101.0, last_start_ms=105.0),
-        losses.LATE_LONG_RUN,
+        causes.LATE_LONG_RUN,
     ),
     (late(measured_objective_ms=301), ""),
-    ({"elapsed_ms": 190.0, "measured_objective_ms": 150}, losses.LATE_LONG_RUN),
-    (late(last_start_ms=110.0, last_usual_run_ms=180.0), losses.LATE_AGENT),
-    (late(last_pace=2.0), losses.LATE_SLOW_WORKER),
-    (late(), losses.LATE_LONG_RUN),
-    (late(last_pace=None), losses.LATE_RUN),
-    (late(last_started_runs=2, last_placed_ms=90.0), losses.LATE_SECOND_RUN),
-    (late(placed_ms=None), losses.LATE_NOT_LOGGED),
-    ({"outcome": "failed"}, losses.FAILED),
-    ({"outcome": "unknown"}, losses.UNKNOWN),
-    ({"outcome": "refused"}, losses.ABANDONED),
+    ({"elapsed_ms": 190.0, "measured_objective_ms": 150}, causes.LATE_LONG_RUN),
+    (late(last_start_ms=110.0, last_usual_run_ms=180.0), causes.LATE_AGENT),
+    (late(last_pace=2.0), causes.LATE_SLOW_WORKER),
+    (late(), causes.LATE_LONG_RUN),
+    (late(last_pace=None), causes.LATE_RUN),
+    (late(last_started_runs=2, last_placed_ms=90.0), causes.LATE_SECOND_RUN),
+    (late(placed_ms=None), causes.LATE_NOT_LOGGED),
+    ({"outcome": "failed"}, causes.FAILED),
+    ({"outcome": "unknown"}, causes.UNKNOWN),
+    ({"outcome": "refused"}, causes.ABANDONED),
 ]
 
 
@@ -84,10 +85,10 @@
 @pytest.mark.parametrize(
     "reason, cause",
     [
-        ("would wait 116 ms of 62 ms allowed", losses.REFUSED_WAIT),
-        ("queue uses 90 of its share of 80 cores", losses.REFUSED_SHARE),
-        ("no worker is ready", losses.REFUSED_NO_WORKER),
-        ("this entry is about to stop", losses.REFUSED_OTHER),
+        ("would wait 116 ms of 62 ms allowed", causes.REFUSED_WAIT),
+        ("queue uses 90 of its share of 80 cores", causes.REFUSED_SHARE),
+        ("no worker is ready", causes.REFUSED_NO_WORKER),
+        ("this entry is about to stop", causes.REFUSED_OTHER),
     ],
 )
 def test_refusals_are_told_apart_by_their_reason(reason, cause):
@@ -128,10 +129,10 @@
         make_line("d", without=NEW_FIELDS, **late()),
     )
     assert [job.cause for job in job_log.jobs] == [
-        losses.LATE_AFTER_ORDER,
-        losses.LATE_MAYBE_SECOND_RUN,
-        losses.LATE_ENTRY,
-        losses.LATE_NOT_LOGGED,
+        causes.LATE_AFTER_ORDER,
+        causes.LATE_MAYBE_SECOND_RUN,
+        causes.LATE_ENTRY,
+        causes.LATE_NOT_LOGGED,
     ]
     assert {job.size_class for job in job_log.jobs} == {"not logged"}
 
@@ -163,7 +164,7 @@
         make_line("2", 15.0, **accepted),
         make_line("3", 20.0),
     )
-    assert [job.cause for job in job_log.lost] == [losses.NOT_ENDED]
+    assert [job.cause for job in job_log.lost] == [causes.NOT_ENDED]
     assert job_log.undecided == 1
 
 
@@ -184,7 +185,7 @@
         main(["losses", str(path), "--capacity", "8"])
     assert stopped.value.code == 0
     text = capsys.readouterr().out
-    assert losses.LATE_LONG_RUN in text and "unavoidable" in text
+    assert causes.LATE_LONG_RUN in text and "unavoidable" in text
     with pytest.raises(SystemExit) as stopped:
         main(["losses", str(path), "--capacity-changes", str(path)])
     assert stopped.value.code == 2
