losses: run time ratios of slow workers from the whole logs

Cause: the ratio that an agent reports begins at 1 and takes some 20 runs to reach that of a slow worker. Until then the measured objective is too long, and late answers on slow workers were counted as on time. Change: `job ended` names the worker, run time and ratio behind the measured objective; `losses` takes each worker's ratio, relative to the median worker, from all its runs in the logs where that is higher than the reported one.

--- a/onyxfork/direct/answer_log.py
+++ b/onyxfork/direct/answer_log.py
@@ -32,7 +32,8 @@
         "slack_ms": round((min(map(job.latest_start, job.tasks)) - job.arrived_at) * 1000),
         "first_start_ms": since_arrival_ms(job, job.first_started_at),
         "last_end_ms": since_arrival_ms(job, job.last_ended_at),
-        "measured_objective_ms": measured_objective_ms(job, workers),
+        "objective_base_ms": job.request.queue.objective_ms,
+        **measured_fields(job, workers),
         **last_task_fields(job, workers),
     }
 
@@ -53,17 +54,33 @@
     return task.run_ms / max(MIN_RUN_TIME_RATIO, run_time_ratio(task, workers) or 1.0)
 
 
-def measured_objective_ms(job, workers):
-    """Return the latency objective by measured run times; None unless all tasks are done."""
+def measured_fields(job, workers):
+    """Return log fields with the latency objective by measured run times.
+
+    They are None unless all tasks are done. `longest_agent` and `longest_pace` tell from which
+    worker the longest run time was taken, and which run time ratio it was divided by.
+    """
+    fields = dict.fromkeys(("measured_objective_ms", "longest_agent", "longest_pace"))
     if not job.tasks or any(task.state != DONE or not task.run_ms for task in job.tasks):
-        return None
-    longest = [0.0] * len(job.request.steps)
-    for task in job.tasks:
-        longest[task.step] = max(longest[task.step], usual_run_ms(task, workers))
-    queue = job.request.queue
-    return round(
-        queue.stretch * max(chain_lengths(job.request.steps, longest)) + queue.objective_ms
-    )
+        return fields
+    queue, steps = job.request.queue, job.request.steps
+    run_ms = {task: usual_run_ms(task, workers) for task in job.tasks}
+    by_step = [0.0] * len(steps)
+    for task, usual_ms in run_ms.items():
+        by_step[task.step] = max(by_step[task.step], usual_ms)
+    longest = max(run_ms, key=run_ms.get)
+    objective_ms = queue.stretch * max(chain_lengths(steps, by_step)) + queue.objective_ms
+    return {
+        "measured_objective_ms": round(objective_ms),
+        "longest_agent": longest.worker,
+        "longest_pace": rounded_ratio(longest, workers),
+    }
+
+
+def rounded_ratio(task, workers):
+    """Return `run_time_ratio` for a log line."""
+    ratio = run_time_ratio(task, workers)
+    return None if ratio is None else round(ratio, 2)
 
 
 def last_task_fields(job, workers):
@@ -74,7 +91,6 @@
     task = job.last_ended_task
     if task is None:
         return {}
-    ratio = run_time_ratio(task, workers)
     return {
         "last_placed_ms": since_arrival_ms(job, task.placed_at),
         "last_start_ms": since_arrival_ms(job, task.started_at or None),
@@ -82,5 +98,7 @@
         "last_usual_run_ms": round(usual_run_ms(task, workers), 1) if task.run_ms else None,
         "last_run": task.run,
         "last_started_runs": task.started_runs,
-        "last_pace": None if ratio is None else round(ratio, 2),
+        "last_agent": task.worker,
+        "last_run_ms": round(task.run_ms, 1),
+        "last_pace": rounded_ratio(task, workers),
     }
--- a/onyxfork/workload/losses.py
+++ b/onyxfork/workload/losses.py
@@ -22,6 +22,7 @@
     find_objective_ms,
     find_refusal_cause,
 )
+from onyxfork.workload.loss_speeds import correct_fields, find_ratios
 
 __all__ = [
     "LoggedJob",
@@ -188,6 +189,7 @@
 def collect_jobs(lines, result):
     """Add the jobs of parsed lines to a `JobLog`."""
     origin = find_origin(lines)
+    ratios = find_ratios(fields for _, _, fields in lines if fields.get("message") == "job ended")
     accepted, reruns, end_s = {}, Counter(), 0.0
     for prefix, clock, fields in lines:
         at_s = prefix if prefix is not None else (clock or origin) - origin
@@ -201,7 +203,7 @@
             result.jobs.append(make_logged_job(at_s, fields, find_refusal_cause(fields)))
         elif message == "job ended":
             _, admission = accepted.pop(key, (None, {}))
-            fields = {**admission, **fields}
+            fields = correct_fields({**admission, **fields}, ratios)
             arrived_s = at_s - fields.get("elapsed_ms", 0.0) / 1000
             cause = find_cause(fields, reruns.pop(key, 0))
             result.jobs.append(make_logged_job(arrived_s, fields, cause))
--- a/tests/workload/test_losses.py
+++ b/tests/workload/test_losses.py
@@ -151,6 +151,20 @@
     assert bare.jobs[1].interval == "2 to 4 s"
 
 
+def test_slow_worker_is_known_from_the_whole_log_before_its_ratio_is_reported(tmp_path):
+    # By the ratio of 1 the run of 250 ms is usual, and the objective 60 ms + 1.6 x 250 ms.
+    measured = {"objective_base_ms": 60.0, "longest_pace": 1.0, "measured_objective_ms": 460}
+    measured |= {"elapsed_ms": 260.0, "last_usual_run_ms": 250.0, "last_run_ms": 250.0}
+    lines = []
+    for agent, run_ms in (("fast-1", 100.0), ("fast-2", 100.0), ("slow", 250.0)):
+        fields = measured | {"last_run_ms": run_ms, "last_agent": agent, "longest_agent": agent}
+        lines += [make_line(f"{agent}-{n}", **fields) for n in range(10)]
+    assert [job.cause for job in read_lines(tmp_path, *lines).jobs[-2:]] == [
+        causes.LATE_SLOW_WORKER
+    ] * 2
+    assert not read_lines(tmp_path, *lines[:-1]).lost
+
+
 def test_log_cut_within_a_line_is_read_up_to_there(tmp_path):
     job_log = read_lines(tmp_path, make_line("1"), make_line("2")[:60], end="")
     assert (len(job_log.jobs), job_log.unreadable) == (1, 1)
