Control instances answer over connections that the other instance opened

Cause: an instance sent only over connections that it had opened itself, and it opens those only to the configured seeds (while it is no member) or to the members that its log names. A learner with an empty log could not answer a leader outside the seeds, and a voter could not answer a candidate that was added after its last entry. Change: connection_to() falls back to the connection of the other side that delivered the latest message; proposals, reads and joins are forwarded over it, too.

--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -71,6 +71,9 @@
     ----------
     peers : dict of str to Connection
         Connections that this instance opened to other control instances, by identity.
+    accepted_peers : dict of str to Connection
+        Connections that other control instances opened to this one, by identity; of several, the
+        one that delivered the latest message.
     waiting_proposals : dict
         Maps the index of a proposed entry to its term and the future of its result.
     pending_reads : dict
@@ -116,6 +119,7 @@
         self.pending_reads = {}
         self.last_request_id = 0
         self.peers = {}
+        self.accepted_peers = {}
         self.forwarded_requests = {}
         self.announcements = {}
         self.port = None
@@ -309,8 +313,8 @@
         None in place of a message stands for a snapshot of the applied state.
         """
         for identity, message in messages:
-            connection = self.peers.get(identity)
-            if connection is None or not connection.is_open:
+            connection = self.connection_to(identity)
+            if connection is None:
                 continue
             if message is None:
                 message = self.make_snapshot_message()
@@ -328,10 +332,24 @@
     async def accept(self, connection):
         """Serve a connection that another control instance or a node has opened."""
         connection.counter = self.metrics.make_message_counter(connection.peer.role)
+        identity = connection.peer.incarnation
         try:
-            await connection.run(self.on_message)
+            await connection.run(self.on_accepted_message)
         finally:
             self.fanout.drop(connection)
+            self.cancel_forwarded_requests(connection)
+            if self.accepted_peers.get(identity) is connection:
+                del self.accepted_peers[identity]
+
+    def on_accepted_message(self, connection, message):
+        """Handle a message on a connection that another process has opened.
+
+        A control instance that expects a former identity at this address connects and closes at
+        once. So a connection counts as usable only once it has delivered a message.
+        """
+        if connection.peer.role == "control":
+            self.accepted_peers[connection.peer.incarnation] = connection
+        self.on_message(connection, message)
 
     def on_message(self, connection, message):
         """Dispatch one message by its type."""
--- a/onyxfork/control/replica_peers.py
+++ b/onyxfork/control/replica_peers.py
@@ -47,6 +47,20 @@
                 self.ask_to_join()
             await asyncio.sleep(JOIN_INTERVAL_S)
 
+    def connection_to(self, identity):
+        """Return an open connection to another control instance, or None.
+
+        It is the one that this instance opened or, without that, the one that the other opened. An
+        instance whose log does not name a member yet can answer it only over the latter: a learner
+        with an empty log that is sent entries by a leader outside the configured addresses, and a
+        voter that is asked for its vote by a member added later than its last entry.
+        """
+        for connections in (self.peers, self.accepted_peers):
+            connection = connections.get(identity)
+            if connection is not None and connection.is_open:
+                return connection
+        return None
+
     @property
     def is_member(self):
         """Whether this replica is a voter or a learner according to its own log."""
@@ -105,8 +119,10 @@
         """Send a `Join` to every connected instance; only the leader acts on it."""
         address = advertised_address(self.settings, self.port)
         message = Join(self.raft.identity, self.settings.node, str(address))
-        for connection in self.peers.values():
-            connection.send(message)
+        for identity in {**self.peers, **self.accepted_peers}:
+            connection = self.connection_to(identity)
+            if connection is not None:
+                connection.send(message)
 
     def handle_join(self, message):
         """Add a replica as a learner if this is the leader, else forward the request to the leader.
@@ -115,7 +131,7 @@
         """
         members = self.raft.members
         if not self.raft.is_leader:
-            leader = self.peers.get(self.raft.leader)
+            leader = self.connection_to(self.raft.leader)
             if leader is not None and message.extra != FORWARDED:
                 leader.send(evolve(message, extra=FORWARDED))
             return
--- a/onyxfork/control/replica_requests.py
+++ b/onyxfork/control/replica_requests.py
@@ -56,8 +56,8 @@
         Return `default` when the leader is not connected or does not answer within
         `REQUEST_TIMEOUT_S`.
         """
-        connection = self.peers.get(self.raft.leader)
-        if connection is None or not connection.is_open:
+        connection = self.connection_to(self.raft.leader)
+        if connection is None:
             return default
         self.last_request_id += 1
         request_id = self.last_request_id
--- a/tests/control/replica_network.py
+++ b/tests/control/replica_network.py
@@ -104,6 +104,10 @@
         finally:
             own.close()
 
+    def peer_targets(self):
+        """Return the targets in an order that does not depend on the hash seed."""
+        return sorted(super().peer_targets(), key=str)
+
     def apply(self, entry):
         self.group.record_applied(entry)
         super().apply(entry)
