--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -63,3 +63,79 @@
             await group.wait(group.is_whole, VOTER_AGAIN_S)
 
     run_virtual(play())
+
+
+async def restart_survivors(group, names):
+    for name in names:
+        await group.kill(name)
+    await asyncio.sleep(group.rng.random() * 2.0)
+    for name in names:
+        await group.start(name)
+
+
+async def change_leader(group):
+    """Make a random instance that is a voter and up to date the leader, if there is one."""
+    leader = group.leader()
+    names = [name for name in group.replicas if group.is_voter(name)]
+    if leader is None or not names:
+        return
+    replica = group.replicas[group.rng.choice(names)]
+    if not replica.raft.is_leader:
+        replica.raft.start_election(replica.clock.now(), pre_vote=False, forced=True)
+        replica.wake_event.set()
+
+
+async def disturb(group, until):
+    """Change leaders, cut off single instances and restart them until the event is set."""
+    while not until.is_set():
+        await asyncio.sleep(group.rng.random() * 0.8)
+        event = group.rng.choice(["leader", "leader", "cut", "heal", "nothing"])
+        if event == "leader":
+            await change_leader(group)
+        elif event == "cut" and group.processes:
+            group.cut_names = {group.rng.choice(list(group.processes))}
+        elif event == "heal":
+            group.cut_names.clear()
+    group.cut_names.clear()
+
+
+async def lose_disks_in_random_order(group, names):
+    """Kill and wipe instances, perhaps restart the survivors, and start all in random order."""
+    survivors = [name for name in group.processes if name not in names]
+    killed = [*names, *group.rng.choice([[], survivors[:1], survivors])]
+    group.rng.shuffle(killed)
+    for name in killed:
+        await group.kill(name)
+    for name in names:
+        group.wipe(name)
+    group.rng.shuffle(killed)
+    for name in killed:
+        await asyncio.sleep(group.rng.random() * group.rng.choice([0.0, 0.2, 2.0]))
+        await group.start(name)
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_group_is_whole_again_after_lost_disks_under_other_faults(tmp_path, seed):
+    """Lost disks in random order while leaders change and connections and instances fail.
+
+    Guards against a returned instance that stays without a vote, a group without a leader and the
+    loss of an acknowledged configuration.
+    """
+
+    async def play():
+        options = {"snapshot_bytes": 600 if seed % 2 else 1 << 20, "max_delay_s": 0.03}
+        async with running_group(tmp_path, seed, **options) as group:
+            for _ in range(4):
+                group.loss_probability = group.rng.choice([0.0, 0.01, 0.1])
+                calm = asyncio.Event()
+                trouble = asyncio.create_task(disturb(group, calm))
+                lost = group.rng.sample(group.names, group.rng.choice([1, 2, 2]))
+                await lose_disks_in_random_order(group, lost)
+                await asyncio.sleep(group.rng.choice([0.0, 0.3, 3.0]))
+                calm.set()
+                await trouble
+                group.loss_probability = 0.0
+                await group.wait(lambda: group.leader() is not None, LEADER_AGAIN_S)
+                await group.wait(group.is_whole, VOTER_AGAIN_S)
+
+    run_virtual(play())
