--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -225,7 +225,7 @@
                 snapshot.members,
                 snapshot.state,
                 hard_state,
-                [],
+                ready.entries,
             )
             result = await self.write_when_possible(self.storage.save_snapshot, *arguments)
         else:
--- a/tests/control/replica_network.py
+++ b/tests/control/replica_network.py
@@ -228,13 +228,20 @@
         shutil.rmtree(self.settings(name).data_folder)
 
     async def lead(self, name):
-        """Make an instance the leader, as a completed leadership transfer would."""
+        """Make an instance the leader, as a leadership transfer would.
+
+        The election is repeated, because the instance loses it while its log is not the latest.
+        """
         replica = self.replicas[name]
-        if replica.raft.is_leader:
-            return
-        replica.raft.start_election(replica.clock.now(), pre_vote=False, forced=True)
-        replica.wake_event.set()
-        await self.wait(lambda: self.leader() is replica, 5.0)
+        for _ in range(5):
+            await self.wait(lambda: self.leader() is not None, 5.0)
+            if not replica.raft.is_leader:
+                replica.raft.start_election(replica.clock.now(), pre_vote=False, forced=True)
+                replica.wake_event.set()
+            await asyncio.sleep(0.5)
+            if self.leader() is replica:
+                return
+        raise AssertionError(self.describe())
 
     # Observations
 
@@ -279,14 +286,14 @@
         for process in self.processes.values():
             assert not process.task.done(), process.task.exception()
 
-    async def wait(self, condition, timeout_s):
+    async def wait(self, condition, timeout_s, poll_s=POLL_S):
         """Wait until a condition holds, and return how long that took in seconds."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         while not condition():
             self.check()
             assert loop.time() - started_at < timeout_s, self.describe()
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(poll_s)
         return loop.time() - started_at
 
     def describe(self):
--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -20,6 +20,10 @@
 SEED, OTHER_SEED, THIRD_SEED, JOINED, OTHER_JOINED = (f"10.0.0.{n}:7000" for n in range(1, 6))
 
 
+class NoLeader(Exception):
+    """Ends a test without the final check, which needs a leader."""
+
+
 async def lose_disk(group, *names, absence_s=ABSENCE_S):
     """Kill instances at the same moment and start them with empty disks."""
     for name in names:
@@ -139,3 +143,127 @@
                 await group.wait(group.is_whole, VOTER_AGAIN_S)
 
     run_virtual(play())
+
+
+@pytest.mark.parametrize("first_back", ["survivors", "wiped"])
+def test_instances_wiped_while_there_is_no_leader_are_voters_again(tmp_path, first_back):
+    """Joins sent while nobody leads are lost, so they have to be repeated."""
+
+    async def play():
+        async with running_group(tmp_path) as group:
+            await group.lead(JOINED)
+            wiped, survivors = [SEED, JOINED], [OTHER_SEED, THIRD_SEED, OTHER_JOINED]
+            for name in group.names:
+                await group.kill(name)
+            for name in wiped:
+                group.wipe(name)
+            both = [survivors, wiped] if first_back == "survivors" else [wiped, survivors]
+            for name in both[0]:
+                await group.start(name)
+            await asyncio.sleep(6.0)
+            for name in both[1]:
+                await group.start(name)
+            await group.wait(lambda: group.leader() is not None, LEADER_AGAIN_S)
+            await group.wait(group.is_whole, VOTER_AGAIN_S)
+
+    run_virtual(play())
+
+
+@pytest.mark.parametrize("leader", [OTHER_SEED, JOINED, OTHER_JOINED])
+def test_leader_change_between_removal_and_promotion(tmp_path, leader):
+    """The next leader promotes the learner although no voter of its name is left to replace."""
+
+    async def play():
+        async with running_group(tmp_path, max_delay_s=0.05) as group:
+            await group.lead(THIRD_SEED)
+            await group.kill(SEED)
+            group.wipe(SEED)
+            await group.start(SEED)
+            raft = group.replicas[THIRD_SEED].raft
+            await group.wait(lambda: len(raft.members.voters) == 4, VOTER_AGAIN_S, poll_s=0.001)
+            await group.kill(THIRD_SEED)
+            await group.wait(lambda: group.leader() is not None, LEADER_AGAIN_S)
+            await group.lead(leader)
+            await group.wait(lambda: group.is_voter(SEED), VOTER_AGAIN_S)
+            await group.start(THIRD_SEED)
+            await group.wait(group.is_whole, VOTER_AGAIN_S)
+
+    run_virtual(play())
+
+
+def test_instance_that_loses_its_disk_twice_is_a_voter_again(tmp_path):
+    """The learner of the first loss must not take the place of that of the second."""
+
+    async def play():
+        async with running_group(tmp_path) as group:
+            await group.lead(OTHER_JOINED)
+            for wait_s in (0.0, 0.5, 0.7, 0.9, 1.2):
+                await lose_disk(group, SEED, absence_s=0.1)
+                await asyncio.sleep(wait_s)
+            await group.wait(group.is_whole, VOTER_AGAIN_S)
+            assert group.leader().raft.members.learners == {}
+
+    run_virtual(play())
+
+
+def test_voter_answers_a_candidate_that_its_log_does_not_name(tmp_path):
+    """Of the survivors only the replaced instance holds the latest entry.
+
+    A voter that was cut off during the replacement does not know the new identity, but the group
+    has no leader without its vote.
+    """
+
+    async def play():
+        async with running_group(tmp_path, max_delay_s=0.05) as group:
+            await group.lead(OTHER_SEED)
+            former = group.replicas[SEED].raft.identity
+            await group.kill(SEED)
+            group.wipe(SEED)
+            group.cut_names = {OTHER_JOINED}
+            await group.start(SEED)
+            raft = group.replicas[OTHER_SEED].raft
+            await group.wait(
+                lambda: former not in raft.members_at(raft.commit).voters, VOTER_AGAIN_S, 0.001
+            )
+            group.cut_names = {OTHER_JOINED, JOINED}
+            await group.wait(lambda: group.is_voter(SEED), VOTER_AGAIN_S)
+            acknowledged = group.acknowledged
+            await group.wait(lambda: group.acknowledged > acknowledged, 5.0)
+            identity = group.replicas[SEED].raft.identity
+            assert identity not in group.replicas[OTHER_JOINED].raft.members.addresses
+            for name in (OTHER_SEED, THIRD_SEED):
+                await group.kill(name)
+                group.wipe(name)
+            group.cut_names.clear()
+            await group.wait(lambda: group.leader() is not None, LEADER_AGAIN_S)
+            assert group.leader().settings.node == SEED
+            for name in (OTHER_SEED, THIRD_SEED):
+                await group.start(name)
+            await group.wait(group.is_whole, VOTER_AGAIN_S)
+
+    run_virtual(play())
+
+
+def test_wiped_instance_has_no_vote_before_it_is_promoted(tmp_path):
+    """Two survivors and three empty disks must not elect a leader: entries would be lost."""
+
+    async def play():
+        async with running_group(tmp_path) as group:
+            wiped = [SEED, OTHER_SEED, JOINED]
+            former = {name: group.replicas[name].raft.identity for name in wiped}
+            for name in group.names:
+                await group.kill(name)
+            for name in wiped:
+                group.wipe(name)
+            for name in group.names:
+                await group.start(name)
+            for _ in range(200):
+                await asyncio.sleep(0.05)
+                assert not any(replica.raft.is_leader for replica in group.replicas.values())
+                for name in wiped:
+                    raft = group.replicas[name].raft
+                    assert raft.identity != former[name] and raft.vote == ""
+            raise NoLeader
+
+    with pytest.raises(NoLeader):
+        run_virtual(play())
