--- a/onyxfork/control/replica.py
+++ b/onyxfork/control/replica.py
@@ -84,6 +84,10 @@
         Reason of a disk failure, or None; ends the driver once it is set.
     next_compaction_at : float
         Monotonic seconds before which no snapshot is written, after one met a full disk.
+    previous_members : Members
+        The members that the latest log line about them names.
+    is_asking_to_join : bool
+        Whether this instance asks the others to be added to the members.
     spawn : callable
         Starts a task that ends with :func:`run_replica`.
     """
@@ -115,6 +119,7 @@
         self.executor = ThreadPoolExecutor(max_workers=1)
         self.wake_event = asyncio.Event()
         self.previous_role = self.raft.role
+        self.previous_members = self.raft.members
         self.waiting_proposals = {}
         self.pending_reads = {}
         self.last_request_id = 0
@@ -122,6 +127,7 @@
         self.accepted_peers = {}
         self.forwarded_requests = {}
         self.announcements = {}
+        self.is_asking_to_join = False
         self.port = None
         self.fatal_reason = None
         self.next_compaction_at = float("-inf")
@@ -182,6 +188,7 @@
             while self.raft.has_ready() and self.fatal_reason is None:
                 await self.process(self.raft.take_ready())
             self.handle_role_change()
+            self.log_members_change()
             self.reassign_cells()
         raise StorageError(self.fatal_reason)
 
@@ -195,6 +202,20 @@
         fields = {"role_now": self.raft.role, "term": self.raft.term, "leader": self.raft.leader}
         log.info("role changed", extra=fields)
 
+    def log_members_change(self):
+        """Log the members when the log has a new set, whether it is committed or not."""
+        members = self.raft.members
+        if members == self.previous_members:
+            return
+        self.previous_members = members
+        fields = {
+            "index": self.raft.members_index,
+            "voters": sorted(members.voters),
+            "learners": sorted(members.learners),
+            "leader": self.raft.leader,
+        }
+        log.info("members changed", extra=fields)
+
     async def process(self, ready):
         """Carry out the work of one `Ready`, and compact a log above `snapshot_bytes`."""
         self.send_all(ready.send_now)
--- a/onyxfork/control/replica_peers.py
+++ b/onyxfork/control/replica_peers.py
@@ -43,8 +43,10 @@
                 if target not in targets:
                     connection_tasks.pop(target).cancel()
                     self.peers.pop(target[0], None)
-            if not self.is_member or self.lacks_leader_contact:
+            needs_to_join = not self.is_member or self.lacks_leader_contact
+            if needs_to_join:
                 self.ask_to_join()
+            self.log_join_state(needs_to_join)
             await asyncio.sleep(JOIN_INTERVAL_S)
 
     def connection_to(self, identity):
@@ -124,6 +126,18 @@
             if connection is not None:
                 connection.send(message)
 
+    def log_join_state(self, needs_to_join):
+        """Log when this instance begins and ceases to ask the others to be added."""
+        if needs_to_join == self.is_asking_to_join:
+            return
+        self.is_asking_to_join = needs_to_join
+        fields = {
+            "member": self.is_member,
+            "leader": self.raft.leader,
+            "connected": sorted({**self.peers, **self.accepted_peers}),
+        }
+        log.info("asking to join" if needs_to_join else "joined", extra=fields)
+
     def handle_join(self, message):
         """Add a replica as a learner if this is the leader, else forward the request to the leader.
 
