Evacuation of availability zones: state, operators' API, distribution, enforcement

Cause: an operator had no means to stop starts in a zone as a whole; workers of it could only be drained one by one.

Change: POST and DELETE /evacuations/ZONE commit SetEvacuation to the replicated log. Control announces the whole list with its log index (message 147) on registration and on change, before the configuration; entries and agents pass it on to each other. Agents of an evacuated zone report the state evacuated, return queued runs and refuse orders; entries place nothing there; their assignment leaves these agents out. A command carries the index of the latest request that its instance had seen, so a delayed copy cannot revert a later request.

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -17,6 +17,7 @@
     AgentAnnounced,
     CrashReport,
     DirectoryNode,
+    EvacuationsAnnounced,
     FetchDocument,
     PlaceTasks,
     Recall,
@@ -113,6 +114,7 @@
         self.worker_known = asyncio.Event()
         self.port = None
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
+        self.control.evacuation_listeners.append(self.apply_evacuations)
         self.lost_entries = LostEntries()
         self.stopping = False
         self.status_timer = None
@@ -245,6 +247,17 @@
         session.latest_status = status
         session.connection.send(status)
 
+    # Evacuations
+
+    def apply_evacuations(self):
+        """Stop or allow starts after a change of the evacuated zones, and notify entries."""
+        evacuations = self.control.evacuations
+        self.arbiter.set_evacuated(self.settings.zone in evacuations.zones, self.clock.now())
+        for session in self.arbiter.sessions.values():
+            if session.connection is not None:
+                evacuations.announce(session.connection)
+        self.apply_decisions()
+
     # Entries
 
     async def accept(self, connection):
@@ -254,6 +267,7 @@
         peer = connection.peer
         session = self.arbiter.connect(peer.node, peer.incarnation, connection)
         log.info("entry connected", extra={"entry": peer.node, "incarnation": peer.incarnation})
+        self.control.evacuations.announce(connection)
         try:
             reason = await connection.run(
                 lambda connection, message: self.on_message(session, connection, message)
@@ -295,6 +309,8 @@
             if self.control.document is not None:
                 connection.send(compress_document(self.control.document))
             return
+        elif isinstance(message, EvacuationsAnnounced):
+            self.control.adopt_evacuations(message, session.entry)
         else:
             raise ProtocolError(f"unexpected {type(message).__name__}")
         self.apply_decisions()
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -22,7 +22,15 @@
     find_stalled,
     median_run_time_ratio,
 )
-from onyxfork.direct.runs import QUEUED, READY, RUNNING, STARTING, STOPPING, TOO_LARGE
+from onyxfork.direct.runs import (
+    EVACUATED,
+    QUEUED,
+    READY,
+    RUNNING,
+    STARTING,
+    STOPPING,
+    TOO_LARGE,
+)
 
 __all__ = ["Arbiter"]
 
@@ -79,6 +87,8 @@
         The current lifetime of the worker.
     responsive : bool
         Whether the worker answers renewals of its lease.
+    evacuated : bool
+        Whether the worker's availability zone is evacuated; no run starts then.
     last_answer_at : float
         When the worker last answered a renewal.
     silence : Silence or None
@@ -131,6 +141,7 @@
         self.worker = None
         self.ended_lifetimes = deque(maxlen=MAX_ENDED_LIFETIMES)
         self.responsive = True
+        self.evacuated = False
         self.last_answer_at = 0.0
         self.silence = None
         self.crash_table = CrashTable()
@@ -165,7 +176,7 @@
             return ABSENT
         if not self.responsive:
             return SUSPECT
-        return self.worker.state
+        return EVACUATED if self.evacuated else self.worker.state
 
     def apply_worker_report(self, worker, now):
         """Apply a report of the worker.
@@ -224,6 +235,15 @@
         if not responsive:
             self.return_queued("unanswered", now)
 
+    def set_evacuated(self, evacuated, now):
+        """Set whether the worker's zone is evacuated; return queued runs if so."""
+        if evacuated == self.evacuated:
+            return
+        self.evacuated = evacuated
+        self.changed = True
+        if evacuated:
+            self.return_queued(EVACUATED, now)
+
     def on_lease_expired(self, now):
         """Finish started runs as lost, because the worker's lease has expired without a renewal."""
         # After a pause of this process the lease may have expired although the worker answers.
--- a/onyxfork/direct/control.py
+++ b/onyxfork/direct/control.py
@@ -1,10 +1,11 @@
-"""A control instance of direct dispatch: replicates the configuration and serves the directory."""
+"""A control instance of direct dispatch: replicates the configuration and evacuations."""
 
 import asyncio
 import logging
+from contextlib import suppress
 
 from onyxfork.control.replica import Replica
-from onyxfork.direct.control_state import Configure, DocumentState
+from onyxfork.direct.control_state import Configure, DocumentState, SetEvacuation
 from onyxfork.direct.directory import NodeDirectory
 from onyxfork.direct.messages import FetchDocument, Register
 
@@ -17,9 +18,24 @@
 
 RETRY_PAUSE_S = 0.05
 
+FIRST_READ_TIMEOUT_S = 0.5
+"""After a start, a read that is not confirmed within this time is requested again: the leader may
+have changed. A configuration has to reach the nodes within 2 s after the network has recovered."""
+
 
 class DocumentReplica(Replica):
-    """A replica whose log holds configurations, and which serves the directory to nodes."""
+    """A replica whose log holds configurations and evacuations, and which serves the directory.
+
+    Attributes
+    ----------
+    zones : dict of str to str
+        Region of each availability zone that operators may evacuate.
+    """
+
+    def __init__(self, settings, storage, metrics, clock=None):
+        super().__init__(settings, storage, metrics, clock)
+        self.zones = {}
+        metrics.gauge("evacuated_zones", lambda: len(self.fanout.evacuations.zones))
 
     @staticmethod
     def load_state(snapshot):
@@ -28,7 +44,9 @@
 
     def make_fanout(self):
         """Return the `NodeDirectory` that sends updates to connected nodes."""
-        return NodeDirectory(self.state, self.clock, self.control_addresses)
+        directory = NodeDirectory(self.state, self.clock, self.control_addresses)
+        directory.is_announcing = False
+        return directory
 
     def control_addresses(self):
         """Return the sorted addresses of all members of the replica group."""
@@ -49,6 +67,73 @@
     async def advance_log_time(self):
         """Do nothing: no command in this log depends on time."""
 
+    async def update_followers(self):
+        """Send nodes periodic updates; announce the state once it is known to be current."""
+        self.spawn(self.announce_once_current())
+        await super().update_followers()
+
+    async def announce_once_current(self):
+        """Let the directory announce the state once a linearizable read has been confirmed.
+
+        After a restart the state is that of the latest snapshot until a leader confirms which
+        entries are committed. Nodes that have lost power too would start tasks with it in a zone
+        that was evacuated later.
+        """
+        confirmed = False
+        while not confirmed:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_READ_TIMEOUT_S):
+                    confirmed = await self.confirm_read()
+            await asyncio.sleep(RETRY_PAUSE_S)
+        self.fanout.start_announcing()
+
+    def knows_zone(self, zone):
+        """Return whether a zone can be evacuated or restored.
+
+        An evacuated zone that has been removed from the settings since can still be restored.
+        """
+        return zone in self.zones or zone in self.state.evacuated_zones
+
+    async def set_evacuation(self, zone, evacuated):
+        """Commit the evacuation of a zone, or its end, retrying until a timeout.
+
+        Parameters
+        ----------
+        zone : str
+        evacuated : bool
+
+        Returns
+        -------
+        bool
+            True if it is committed, False if that is unknown.
+        """
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                await self.propose_evacuation(zone, evacuated)
+        except TimeoutError:
+            return False
+        fields = {"zone": zone, "evacuated": evacuated, "term": self.raft.term}
+        log.info("evacuation committed", extra=fields)
+        if evacuated and self.zones.keys() <= self.state.evacuated_zones | {zone}:
+            log.warning("every zone is evacuated", extra={"zones": sorted(self.zones)})
+        return True
+
+    async def propose_evacuation(self, zone, evacuated):
+        """Propose a `SetEvacuation` until it is accepted.
+
+        It is proposed although the local state may show no difference: that state may be outdated.
+        """
+        seen_index = 0
+        while True:
+            seen_index = max(seen_index, self.state.evacuation_request_index)
+            result = await self.propose(SetEvacuation(zone, evacuated, seen_index))
+            if result is None:
+                await asyncio.sleep(RETRY_PAUSE_S)
+            elif result.accepted:
+                return
+            else:
+                seen_index = result.version
+
     async def configure(self, version, body):
         """Commit a configuration to the replicated log, retrying until a timeout.
 
@@ -84,9 +169,23 @@
         ConfigurationDocument or None
             None if there is none, or if a linearizable read was not confirmed in time.
         """
+        return self.state.document if await self.confirm_read_in_time() else None
+
+    async def read_evacuations(self):
+        """Return the evacuated zones.
+
+        Returns
+        -------
+        frozenset of str or None
+            None if a linearizable read was not confirmed in time.
+        """
+        return self.state.evacuated_zones if await self.confirm_read_in_time() else None
+
+    async def confirm_read_in_time(self):
+        """Return whether a linearizable read was confirmed before operators' clients give up."""
         deadline = self.clock.now() + ANSWER_TIMEOUT_S
         while not await self.confirm_read():
             if self.clock.now() > deadline:
-                return None
+                return False
             await asyncio.sleep(RETRY_PAUSE_S)
-        return self.state.document
+        return True
--- a/onyxfork/direct/directory.py
+++ b/onyxfork/direct/directory.py
@@ -7,7 +7,13 @@
 from attrs import define, field
 
 from onyxfork.direct.documents import compress_document
-from onyxfork.direct.messages import Directory, DirectoryNode, DocumentAnnounced
+from onyxfork.direct.evacuations import Evacuations
+from onyxfork.direct.messages import (
+    Directory,
+    DirectoryNode,
+    DocumentAnnounced,
+    EvacuationsAnnounced,
+)
 from onyxfork.direct.subsets import SubsetTable
 
 __all__ = ["NodeDirectory"]
@@ -35,6 +41,8 @@
         Labels for which an entry lacks capacity.
     sent : Directory or None
         The latest directory that it was sent.
+    evacuations_index : int
+        Index of the latest list of evacuated zones that it was sent.
     """
 
     node: DirectoryNode
@@ -42,6 +50,7 @@
     labels: frozenset = frozenset()
     wanted_labels: list = field(factory=list)
     sent: Directory | None = None
+    evacuations_index: int = 0
 
 
 class NodeDirectory:
@@ -68,6 +77,11 @@
         Whether the nodes have changed since the directories were sent.
     transfer : DocumentTransfer or None
         The latest configuration that was sent, reused for other nodes.
+    evacuations : Evacuations
+        The evacuated zones, whose agents are assigned to no entry.
+    is_announcing : bool
+        Whether configurations and evacuations are announced. An instance that has just started may
+        not have applied its log yet; see `DocumentReplica.announce_once_current`.
     """
 
     interval_s = PUSH_INTERVAL_S
@@ -82,6 +96,9 @@
         self.sent_control = []
         self.dirty = False
         self.transfer = None
+        self.is_announcing = True
+        self.evacuations = Evacuations(clock)
+        self.adopt_evacuations()
 
     def replace_state(self, state):
         """Replace the state after a snapshot has been installed."""
@@ -98,6 +115,7 @@
             frozenset(message.labels),
             message.wanted_labels,
             former.sent if former else None,
+            former.evacuations_index if former else 0,
         )
         self.disconnected.pop(peer.node, None)
         self.announce(connection, follower)
@@ -110,16 +128,39 @@
             self.disconnected[follower.node.node] = (self.clock.now(), follower)
 
     def flush(self):
-        """Announce the configuration to every node that neither holds it nor was announced it."""
+        """Announce the configuration and the evacuated zones to every node that lacks them."""
+        self.adopt_evacuations()
         for connection, follower in self.followers.items():
             self.announce(connection, follower)
 
     def announce(self, connection, follower):
-        """Announce the configuration to a node that neither holds it nor was announced it."""
+        """Announce evacuated zones and configuration to a node that lacks them.
+
+        The zones come first: a node that has received a configuration from here, with which it can
+        accept jobs, has then received the evacuations too.
+        """
+        if not self.is_announcing:
+            return
+        if follower.evacuations_index < self.evacuations.index:
+            follower.evacuations_index = self.evacuations.index
+            self.evacuations.announce(connection)
         if follower.version < self.state.version:
             follower.version = self.state.version
             connection.send(DocumentAnnounced(self.state.version))
 
+    def adopt_evacuations(self):
+        """Take the evacuated zones from the replicated state."""
+        message = EvacuationsAnnounced(
+            self.state.evacuations_index, sorted(self.state.evacuated_zones)
+        )
+        if self.evacuations.adopt(message, "log"):
+            self.dirty = True
+
+    def start_announcing(self):
+        """Announce the configuration and the evacuated zones from now on."""
+        self.is_announcing = True
+        self.flush()
+
     def send_document(self, connection):
         """Send the newest configuration to a node; it is compressed once for all nodes."""
         document = self.state.document
@@ -170,12 +211,15 @@
         return listed
 
     def update_subsets(self, listed):
-        """Pass the listed entries and agents to the table of subsets."""
+        """Pass the listed entries and agents to the table of subsets.
+
+        Agents of evacuated zones are left out, so that entries are assigned others in their place.
+        """
         entry_zones, agent_zones, agent_labels = {}, {}, {}
         for name, known in listed.items():
             if known.node.role == "entry":
                 entry_zones[name] = known.node.zone
-            elif known.node.role == "agent":
+            elif known.node.role == "agent" and known.node.zone not in self.evacuations.zones:
                 agent_zones[name] = known.node.zone
                 agent_labels[name] = known.labels
         self.subsets.update(entry_zones, agent_zones, agent_labels)
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -81,6 +81,8 @@
         Tasks that wait for free capacity.
     unstarted_tasks : set of Task
         Tasks whose latest run an agent holds and has not reported as started.
+    evacuated_zones : frozenset of str
+        Availability zones whose workers get no tasks.
     known_agent_count : int
         Agents in the directory, connected or not.
     shortages : dict of str to float
@@ -109,6 +111,7 @@
         self.rng = rng or Random()
         self.zone = zone
         self.recovery_ends_at = self.startup_ends_at = now + RECOVERY_WINDOW_S
+        self.evacuated_zones = frozenset()
         self.known_agent_count = 0
         self.shortages = {}
         self.jobs = {}
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -46,6 +46,7 @@
         Output that is still to be sent to the agent is dropped: the returned list replaces it.
         """
         view = self.workers.setdefault(node, WorkerView(node, zone))
+        view.evacuated = view.zone in self.evacuated_zones
         view.connect()
         for pending_by_agent in (self.orders, self.withdrawals, self.recalls):
             pending_by_agent.pop(node, None)
@@ -60,6 +61,14 @@
         for pending_by_agent in (self.orders, self.withdrawals, self.recalls):
             pending_by_agent.pop(node, None)
 
+    def set_evacuated_zones(self, zones, now):
+        """Replace the evacuated zones; their workers get no further tasks."""
+        self.evacuated_zones = zones
+        for view in self.workers.values():
+            view.evacuated = view.zone in zones
+        if self.waiting_heap:
+            self.place_waiting_tasks(now)
+
     def on_status(self, node, status, now):
         """Update a worker from its agent's report."""
         self.workers[node].update_status(status)
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -13,6 +13,7 @@
     AgentAnnounced,
     CrashReport,
     DocumentTransfer,
+    EvacuationsAnnounced,
     FetchDocument,
     PlaceTasks,
     Recall,
@@ -100,6 +101,7 @@
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
         self.control.directory_listeners.append(self.update_agent_dialers)
         self.control.document_listeners.append(lambda _: self.configured.set())
+        self.control.evacuation_listeners.append(self.apply_evacuations)
         self.connections = {}
         self.dialers = {}
         self.answer_futures = {}
@@ -237,8 +239,17 @@
         refs = self.dispatcher.on_connected(node.node, node.zone)
         self.connections[node.node] = connection
         connection.send(Resume(refs, str(self.settings.address)))
+        self.control.evacuations.announce(connection)
         log.info("agent connected", extra={"agent": node.node, "runs": len(refs)})
 
+    def apply_evacuations(self):
+        """Apply a change of the evacuated zones, and pass it on to the connected agents."""
+        evacuations = self.control.evacuations
+        self.dispatcher.set_evacuated_zones(evacuations.zones, self.clock.now())
+        for connection in self.connections.values():
+            evacuations.announce(connection)
+        self.flush()
+
     def on_agent_disconnected(self, name, connection, reason):
         """Mark an agent as disconnected, unless a newer connection has replaced this one."""
         if self.connections.get(name) is not connection:
@@ -260,6 +271,8 @@
             self.dispatcher.on_crash_report(message.counts, now)
         elif isinstance(message, DocumentTransfer):
             self.control.adopt_document(decompress_document(message), name)
+        elif isinstance(message, EvacuationsAnnounced):
+            self.control.adopt_evacuations(message, name)
         else:
             raise ProtocolError(f"unexpected {type(message).__name__}")
         self.flush()
--- a/onyxfork/direct/links.py
+++ b/onyxfork/direct/links.py
@@ -10,10 +10,12 @@
 
 from onyxfork.addresses import Address
 from onyxfork.direct.documents import FETCH_RETRY_S, DocumentFetcher, decompress_document
+from onyxfork.direct.evacuations import Evacuations
 from onyxfork.direct.messages import (
     Directory,
     DocumentAnnounced,
     DocumentTransfer,
+    EvacuationsAnnounced,
     FetchDocument,
     Register,
 )
@@ -130,7 +132,9 @@
         Monotonic seconds at which each of them was last listed or announced itself.
     labels, wanted_labels : list of str
         Labels of an agent's worker, and labels for which an entry lacks capacity.
-    document_listeners, directory_listeners : list of callable
+    evacuations : Evacuations
+        The evacuated zones, from control or from other nodes.
+    document_listeners, directory_listeners, evacuation_listeners : list of callable
         Called after a change.
     """
 
@@ -150,6 +154,9 @@
         self.nodes = {}
         self.document_listeners = []
         self.directory_listeners = []
+        self.evacuations = Evacuations(clock)
+        self.evacuation_listeners = []
+        telemetry.gauge("evacuated_zones", lambda: len(self.evacuations.zones))
         self.dialers = {}
         self.own_address = ""
         self.labels = []
@@ -254,6 +261,8 @@
             self.fetch_from(self.fetcher.on_announced(address, message.version, now))
         elif isinstance(message, DocumentTransfer):
             self.adopt_document(decompress_document(message), address)
+        elif isinstance(message, EvacuationsAnnounced):
+            self.adopt_evacuations(message, address)
         elif isinstance(message, Directory):
             self.learned_addresses[address] = message.control
             self.directories[address] = message.nodes
@@ -274,6 +283,12 @@
         for listener in self.document_listeners:
             listener(document)
 
+    def adopt_evacuations(self, message, source):
+        """Adopt a list of evacuated zones if it is newer, and call the listeners."""
+        if self.evacuations.adopt(message, source):
+            for listener in self.evacuation_listeners:
+                listener()
+
     def update_nodes(self):
         """Add the nodes that any control instance lists, and call the listeners."""
         now = self.clock.now()
--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -24,6 +24,7 @@
     "FetchDocument",
     "DocumentTransfer",
     "AgentAnnounced",
+    "EvacuationsAnnounced",
     "CrashCount",
     "CrashReport",
 ]
@@ -223,7 +224,8 @@
     service : str
         The kind of worker.
     state : str
-        ``ready``, ``draining``, ``suspect`` (does not answer) or ``absent``.
+        ``ready``, ``draining``, ``evacuated`` (so is its zone), ``suspect`` (does not answer) or
+        ``absent``.
     cpu, memory_mb, gpu : int
         Total capacity.
     cpu_free, memory_free, gpu_free : int
@@ -346,3 +348,22 @@
     """
 
     agent: DirectoryNode
+
+
+@message(147)
+@define
+class EvacuationsAnnounced:
+    """Sent by control to nodes, and between entries and agents: all evacuated zones.
+
+    Parameters
+    ----------
+    index : int
+        Log index of the change that resulted in this list; a node ignores a lower one.
+    zones : list of str
+    age_ms : float
+        Time since that change, as far as the sender knows.
+    """
+
+    index: int
+    zones: list[str]
+    age_ms: float = 0.0
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -7,6 +7,7 @@
 __all__ = ["Run", "Worker", "Session", "STALE_AFTER_S"]
 
 READY = "ready"
+EVACUATED = "evacuated"
 QUEUED = "queued"
 STARTING = "starting"
 RUNNING = "running"
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -7,6 +7,7 @@
 import logging
 
 from onyxfork.direct.lease import WorkerClock
+from onyxfork.direct.runs import EVACUATED
 from onyxfork.utils import logged_failures
 
 __all__ = ["WorkerDriver", "task_name"]
@@ -165,15 +166,17 @@
         """Start a run at the worker and report the outcome to the arbiter.
 
         The run is returned instead if its entry may have placed it elsewhere, which a pause of this
-        process since the decision allows.
+        process since the decision allows, or if the zone has been evacuated since.
         """
         worker = self.arbiter.worker
         answer = "returned"
         if self.arbiter.is_session_stale(run.session, self.clock.now()):
             answer = "stale"
+        elif self.arbiter.evacuated:
+            answer = EVACUATED
         elif worker is not None:
             answer = await self.send_start(worker, run)
-        if answer not in ("started", "returned", "stale"):
+        if answer not in ("started", "returned", "stale", EVACUATED):
             fields = {"task": task_name(run.order.ref), "run": run.order.run, "answer": answer}
             log.info("start order failed", extra=fields)
         self.arbiter.on_start_reply(run, answer, self.clock.now())
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -36,6 +36,8 @@
         Tasks whose latest run the agent holds, by task key.
     runs_lost_at : float
         While disconnected, monotonic seconds from which these runs count as lost.
+    evacuated : bool
+        Whether this entry knows that the worker's zone is evacuated; its agent may not know yet.
     """
 
     node: str
@@ -50,11 +52,13 @@
     avoid_until: float = 0.0
     tasks: dict = field(factory=dict)
     runs_lost_at: float = 0.0
+    evacuated: bool = False
 
     @property
     def is_ready(self):
         """Whether the worker may get new tasks."""
-        return self.connected and self.status is not None and self.status.state == READY
+        reported_ready = self.status is not None and self.status.state == READY
+        return self.connected and reported_ready and not self.evacuated
 
     @property
     def cpu_free(self):
--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -100,6 +100,7 @@
 
     def reload(new_settings):
         own_settings.members = new_settings.control_settings().members
+        replica.zones = new_settings.zones
 
     async def stop():
         await replica.transfer_leadership()
@@ -110,6 +111,7 @@
     with storage_context as storage:
         telemetry.gauge("disk_full", lambda: int(storage.is_full))
         replica = DocumentReplica.from_config(own_settings, storage, telemetry)
+        replica.zones = settings.zones
         async with run_replica(replica) as driver:
             driver.add_done_callback(exit_on_failure)
             async with run_server(OperatorHandler(replica).handle, settings.reports):
--- a/onyxfork/platform/settings.py
+++ b/onyxfork/platform/settings.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import attrs
-from attrs import define
+from attrs import define, field
 
 from onyxfork.addresses import Address
 from onyxfork.direct.settings import CONTROL_TIMING, DirectSettings
@@ -76,6 +76,8 @@
         IP address to listen at for onyxfork's own protocol; empty for `host`.
     clock_file : str
         File with milliseconds to add to the time of day; empty for none.
+    zones : dict of str to str
+        Region of each availability zone that operators may evacuate.
     """
 
     node: str
@@ -95,6 +97,7 @@
     tolerated_losses: int
     listen_host: str = ""
     clock_file: str = ""
+    zones: dict = field(factory=dict)
 
     def internal_address(self, port_offset, host=None):
         """Return the address for onyxfork's own protocol at a port offset.
@@ -171,6 +174,15 @@
     return parse_address(value) if value else None
 
 
+def decode_zones(data):
+    """Return the region of each availability zone in the optional table ``zones``."""
+    zones = read_object(data.get("zones", {}), "zones")
+    for zone, region in zones.items():
+        if not isinstance(region, str):
+            raise FieldError(f"zones.{zone}: expected a string, got {type(region).__name__}")
+    return zones
+
+
 def decode_settings(data):
     """Return the `PlatformSettings` in a decoded TOML file.
 
@@ -204,6 +216,7 @@
         lease_ms=read_number(bounds, "holdMaxMs", 1000),
         grace_s=read_number(bounds, "graceS", 6),
         tolerated_losses=read_integer(fault_tolerance, "machines", 1),
+        zones=decode_zones(data),
     )
 
 
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -257,3 +257,43 @@
         assert (await send("PUT", "/config", {**DOCUMENT, "version": 9}))[0] == 503
         assert (await send("PUT", "/config", {**DOCUMENT, "services": []}))[0] == 400
         assert (await send("PUT", "/instances/i-1", REPORT))[0] == 503
+
+
+async def test_operators_evacuate_and_restore_zones():
+    evacuated, calls = set(), []
+
+    async def set_evacuation(zone, is_evacuated):
+        calls.append((zone, is_evacuated))
+        (evacuated.add if is_evacuated else evacuated.discard)(zone)
+        return zone != "slow"
+
+    async def read_evacuations():
+        return frozenset(evacuated)
+
+    replica = SimpleNamespace(
+        set_evacuation=set_evacuation,
+        read_evacuations=read_evacuations,
+        knows_zone=lambda zone: zone in ("a", "b", "slow", "odd name"),
+    )
+    async with serving(OperatorHandler(replica).handle) as send:
+        for method, is_evacuated in (("POST", True), ("POST", True), ("DELETE", False)):
+            status, body, _ = await send(method, "/evacuations/a")
+            assert (status, body) == (200, {"zone": "a", "evacuated": is_evacuated})
+        assert (await send("POST", "/evacuations/odd%20name"))[0] == 200
+        assert (await send("GET", "/evacuations"))[1] == {"zones": ["odd name"]}
+        assert (await send("POST", "/evacuations/slow"))[0] == 503
+        accepted = len(calls)
+        refusals = [
+            ("POST", "c", None, 404, "'c' is not among the known zones"),
+            ("DELETE", "c", None, 404, "'c' is not among the known zones"),
+            ("POST", "a", b"x", 400, "body"),
+            ("POST", "", None, 400, "malformed name"),
+            ("DELETE", "a/b", None, 400, "malformed name"),
+            ("POST", "%FF%0A", None, 400, "malformed name"),
+            ("POST", "x" * 65, None, 400, "malformed name"),
+            ("PUT", "a", None, 405, "POST or DELETE"),
+        ]
+        for method, name, body, expected, text in refusals:
+            status, answer, _ = await send(method, f"/evacuations/{name}", body)
+            assert status == expected and text in answer["error"], (method, name)
+        assert len(calls) == accepted
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -40,6 +40,12 @@
     assert [str(address) for address in settings.direct_settings(1).control] == sorted(own.members)
 
 
+def test_zones_are_optional(tmp_path):
+    assert load(tmp_path, FILE).zones == {}
+    settings = load(tmp_path, FILE + '[zones]\na = "north"\n"b-2" = "south"\n')
+    assert settings.zones == {"a": "north", "b-2": "south"}
+
+
 def test_control_instance_not_among_the_seeds_is_not_a_first_member(tmp_path):
     settings = load(tmp_path, FILE.replace("10.1.0.17", "10.1.0.99", 1))
     assert not settings.is_first_member()
@@ -53,6 +59,8 @@
         ('"10.1.0.17:8166"\n[bounds]', '"x"\n[bounds]', "'x'"),
         ("holdMaxMs = 1000", 'holdMaxMs = "long"', "holdMaxMs"),
         ("[listen]", "[listen", "boot.toml"),
+        ("[listen]", "[zones]\na = 1\n[listen]", "zones.a"),
+        ("[listen]", "zones = [1]\n[listen]", "zones: expected an object"),
     ],
 )
 def test_invalid_field_is_named(tmp_path, old, new, named):
