--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -114,6 +114,7 @@
         self.worker_known = asyncio.Event()
         self.port = None
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
+        telemetry.gauge("runs_held", lambda: len(self.arbiter.runs))
         self.control.evacuation_listeners.append(self.apply_evacuations)
         self.lost_entries = LostEntries()
         self.stopping = False
--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -21,6 +21,9 @@
 EXIT_FAILED = 3
 EXIT_UNAVAILABLE = 4
 
+DEFAULT_OPERATORS = "http://127.0.0.1:8166"
+"""Default URL of the operators' address of a control instance on the platform."""
+
 
 def entry(*, settings: Path):
     """Run an entry, which serves callers over HTTP and places their tasks.
@@ -311,6 +314,55 @@
     return EXIT_REFUSED if failed else 0
 
 
+def zone_evacuate(name: str, *, control: str = DEFAULT_OPERATORS):
+    """Evacuate an availability zone: no task starts there until it is restored.
+
+    :param name: the zone, as in the table [zones] of the control instances' settings
+    :param control: URL of a control instance's operator address; several are separated by commas
+        and tried in turn
+    """
+    return send_zone_request("POST", name, control)
+
+
+def zone_restore(name: str, *, control: str = DEFAULT_OPERATORS):
+    """Restore an evacuated availability zone.
+
+    :param name: the zone
+    :param control: URL of a control instance's operator address; several are separated by commas
+        and tried in turn
+    """
+    return send_zone_request("DELETE", name, control)
+
+
+def zone_list(*, control: str = DEFAULT_OPERATORS):
+    """Print the evacuated availability zones, one per line.
+
+    :param control: URL of a control instance's operator address; several are separated by commas
+        and tried in turn
+    """
+    return send_zone_request("GET", "", control)
+
+
+def send_zone_request(method, zone, control):
+    """Send a request on evacuations, print the answer and return the exit status."""
+    import asyncio
+
+    from onyxfork.platform.zone_client import ZoneClient
+
+    if method != "GET" and not zone:
+        raise SettingsError(["NAME: expected the name of a zone"])
+    status, body = asyncio.run(ZoneClient.from_option(control).request(method, zone))
+    if status != 200:
+        print(f"refused: {body.get('error', status)}", file=sys.stderr)
+        return EXIT_REFUSED
+    if method == "GET":
+        for name in body["zones"]:
+            print(name)
+    else:
+        print(f"{zone}: {'evacuated' if body['evacuated'] else 'restored'}")
+    return 0
+
+
 COMMANDS = {
     "entry": entry,
     "agent": agent,
@@ -324,6 +376,7 @@
     "bench-control": bench_control,
     "bench-capacity": bench_capacity,
     "soak": soak,
+    "zone": {"evacuate": zone_evacuate, "restore": zone_restore, "list": zone_list},
 }
 
 
