Soak: zones are evacuated and restored, and each start is checked

Cause: evacuations had been tested without processes, kills and cut links only.

Change: half of the schedules evacuate up to three zones, drawn from a random sequence of their own, so that the other faults of a seed stay the same. A start more than 5 s after the acknowledgement is a violation, and so is a request that is not acknowledged within 20 s.

--- a/onyxfork/platform/standin/calls.py
+++ b/onyxfork/platform/standin/calls.py
@@ -14,6 +14,7 @@
     "encode_configuration",
     "encode_job",
     "entry_settings",
+    "evacuation_path",
     "job_path",
     "make_invalid_configurations",
     "node_settings",
@@ -29,6 +30,11 @@
     return f"/{queue}/{job_id}"
 
 
+def evacuation_path(zone):
+    """Return the path at which a zone is evacuated and restored."""
+    return f"/evacuations/{zone}"
+
+
 def encode_job(spec, tasks, cpu, memory_mb, estimate_ms):
     """Return the body of a job that has one step and whose caller waits for the outcome."""
     step = {"count": tasks, "cpu": cpu, "memMb": memory_mb, "estimatedMs": estimate_ms}
@@ -89,7 +95,7 @@
     ]
 
 
-def encode_settings(fields, listen, bounds, tolerated_losses):
+def encode_settings(fields, listen, bounds, tolerated_losses, zones=()):
     """Return the content of a settings file in TOML.
 
     Parameters
@@ -102,11 +108,15 @@
         Time limits.
     tolerated_losses : int
         How many control instances may lose their disks at the same time.
+    zones : iterable of str
+        Availability zones that operators may evacuate.
     """
     lines = [f"{key} = {json.dumps(value)}" for key, value in fields.items()]
     lines += ["[listen]"] + [f"{key} = {json.dumps(value)}" for key, value in listen.items()]
     lines += ["[bounds]"] + [f"{key} = {json.dumps(value)}" for key, value in bounds.items()]
     lines += ["[faultTolerance]", f"machines = {tolerated_losses}"]
+    if zones:
+        lines += ["[zones]"] + [f'{json.dumps(zone)} = "region-1"' for zone in zones]
     return "\n".join(lines) + "\n"
 
 
@@ -134,9 +144,9 @@
     return encode_settings(fields, {"control": str(reports)}, {"graceS": grace_s}, 1)
 
 
-def control_settings(fields, operators, data_folder, grace_s, tolerated_losses):
+def control_settings(fields, operators, data_folder, grace_s, tolerated_losses, zones=()):
     """Return the content of a control instance's settings file."""
     fields = {**fields, "dataDir": str(data_folder)}
     return encode_settings(
-        fields, {"control": str(operators)}, {"graceS": grace_s}, tolerated_losses
+        fields, {"control": str(operators)}, {"graceS": grace_s}, tolerated_losses, zones
     )
--- a/onyxfork/workload/soak/checks.py
+++ b/onyxfork/workload/soak/checks.py
@@ -5,7 +5,13 @@
 
 from attrs import define, field
 
-__all__ = ["SoakRecords", "JobRecord", "ConfigurationRecord", "find_violations"]
+__all__ = [
+    "SoakRecords",
+    "JobRecord",
+    "ConfigurationRecord",
+    "EvacuationRecord",
+    "find_violations",
+]
 
 MAX_APPLY_DELAY_S = 2.0
 """Upper bound on the time from the acknowledgement of a configuration until it is in force and
@@ -15,6 +21,10 @@
 """Upper bound on the time from the acknowledgement that a worker is draining to the last start of a
 run on it."""
 
+MAX_START_AFTER_EVACUATION_S = 5.0
+"""Upper bound on the time from the acknowledgement of a zone's evacuation to the last start of a
+run there."""
+
 OVERLAP_TOLERANCE_S = 0.02
 """Upper bound on an overlap of two runs that is not reported. A worker records the end of a run by
 a timer, so up to this much late."""
@@ -88,6 +98,24 @@
     is_read: bool = False
 
 
+@define
+class EvacuationRecord:
+    """Evacuation of a zone by an operator, and its end.
+
+    Parameters
+    ----------
+    acked_at, restore_acked_at : float or None
+        When control acknowledged each request; None if it did not.
+    restore_sent_at : float
+        When the end was first requested.
+    """
+
+    zone: str
+    acked_at: float | None = None
+    restore_sent_at: float = float("inf")
+    restore_acked_at: float | None = None
+
+
 @define
 class SoakRecords:
     """Observations of a whole soak; times are seconds of its clock.
@@ -103,6 +131,9 @@
     drains : list of (str, float)
         Identifier of the lifetime of each drained worker, and when its draining was acknowledged.
     configurations : list of ConfigurationRecord
+    evacuations : list of EvacuationRecord
+    zones : dict of str to str
+        Zone of each worker, by name without the number of the lifetime.
     unplanned_faults : list of (float, float)
         Start and end of each unplanned fault.
     planned_stops : list of (str, float, float)
@@ -118,6 +149,8 @@
     capacities: dict = field(factory=dict)
     drains: list = field(factory=list)
     configurations: list = field(factory=list)
+    evacuations: list = field(factory=list)
+    zones: dict = field(factory=dict)
     unplanned_faults: list = field(factory=list)
     planned_stops: list = field(factory=list)
     final_load_from: float = 0.0
@@ -141,6 +174,8 @@
         find_refused_jobs_that_ran,
         find_wrong_answers,
         find_starts_on_draining_workers,
+        find_starts_in_evacuated_zones,
+        find_unacknowledged_evacuations,
         find_starts_of_crashing_tasks,
         find_starts_over_capacity,
         find_configuration_violations,
@@ -286,6 +321,38 @@
             )
 
 
+def find_starts_in_evacuated_zones(records):
+    """Yield a line for each run that starts too long after its zone's evacuation was acknowledged.
+
+    Runs that the worker itself started late, without a response to the order, are exempt.
+    """
+    acked = [record for record in records.evacuations if record.acked_at is not None]
+    for run in records.runs:
+        zone = records.zones.get(run.worker.rpartition("-")[0])
+        for record in acked:
+            not_before = record.acked_at + MAX_START_AFTER_EVACUATION_S
+            if (
+                record.zone == zone
+                and not_before < run.started_at < record.restore_sent_at
+                and not run.started_late
+            ):
+                yield (
+                    f"start in an evacuated zone: {run.task} on {run.worker} in {zone} "
+                    f"{run.started_at - record.acked_at:.2f} s after the acknowledgement"
+                )
+
+
+def find_unacknowledged_evacuations(records):
+    """Yield a line for each evacuation or restoration that control did not acknowledge at all."""
+    for record in records.evacuations:
+        for name, acked_at in (
+            ("evacuation", record.acked_at),
+            ("restoration", record.restore_acked_at),
+        ):
+            if acked_at is None:
+                yield f"{name} of {record.zone} was not acknowledged"
+
+
 def find_configuration_violations(records):
     """Yield a line for each read or acknowledgement of a configuration that violates a guarantee.
 
--- a/onyxfork/workload/soak/cluster.py
+++ b/onyxfork/workload/soak/cluster.py
@@ -29,6 +29,7 @@
 from onyxfork.workload.processes import ManagedProcess, kill_processes
 from onyxfork.workload.proxy import Place, run_proxy
 from onyxfork.workload.soak.load import SERVICE, task_cpu, task_crashes, task_run_s
+from onyxfork.workload.soak.schedule import zone_of
 
 __all__ = ["SoakCluster", "run_cluster"]
 
@@ -105,8 +106,7 @@
 
     def write_settings(self, name, bootstrap):
         """Write the settings file of a process and return its path."""
-        role, _, number = name.partition("-")
-        zone = f"zone-{int(number) % 3 + 1}"
+        role, zone = name.partition("-")[0], zone_of(name)
         host, control = self.address(name, 1).host, [str(addr) for addr in self.control_addresses()]
         fields = node_settings(name, zone, host, INTERNAL_PORTS, control, bootstrap)
         if role == "entry":
@@ -117,7 +117,9 @@
             text = agent_settings(fields, reports, worker, SERVICE, STOP_GRACE_S)
         else:
             operators = self.address(name, CONTROL_HTTP_PORT)
-            text = control_settings(fields, operators, self.folder / name, STOP_GRACE_S, 1)
+            text = control_settings(
+                fields, operators, self.folder / name, STOP_GRACE_S, 1, self.size.zones
+            )
         path = self.folder / f"{name}.toml"
         path.write_text(text)
         return path
--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -7,6 +7,7 @@
 
 from onyxfork.platform.standin.worker import drain_and_restart
 from onyxfork.workload.proxy import Rule
+from onyxfork.workload.soak.checks import EvacuationRecord
 from onyxfork.workload.soak.cluster import (
     CONTROL_HTTP_PORT,
     RESTART_DELAY_S,
@@ -257,6 +258,15 @@
         """Send two configurations at the same time."""
         await self.operators.send_concurrently()
 
+    async def do_evacuate(self, fault):
+        """Evacuate a zone, and restore it after the duration of the fault."""
+        record = EvacuationRecord(fault.target)
+        self.records.evacuations.append(record)
+        record.acked_at = await self.operators.set_evacuation("POST", fault.target)
+        await asyncio.sleep(fault.duration_s)
+        record.restore_sent_at = self.clock.now()
+        record.restore_acked_at = await self.operators.set_evacuation("DELETE", fault.target)
+
     async def do_invalid(self, fault):
         """Send configurations that must be refused."""
         await self.operators.send_invalid()
--- a/onyxfork/workload/soak/load.py
+++ b/onyxfork/workload/soak/load.py
@@ -14,6 +14,7 @@
     READY_PATH,
     encode_configuration,
     encode_job,
+    evacuation_path,
     job_path,
     make_invalid_configurations,
 )
@@ -46,6 +47,11 @@
 """The platform's operators switch to another control instance after a second."""
 
 OPERATOR_ATTEMPTS = 8
+
+EVACUATION_ATTEMPTS_S = 20.0
+"""How long a request to evacuate or restore a zone is repeated. Control has no quorum during some
+faults, but has one again within 12 s of their end."""
+
 READ_INTERVAL_S = 0.5
 MEAN_CHANGE_INTERVAL_S = 1.5
 """Mean time between two changes of the configuration, so that a soak sends a few dozen."""
@@ -332,6 +338,18 @@
         for body in make_invalid_configurations(valid_body):
             await self.put_configuration(version, body, valid=False)
 
+    async def set_evacuation(self, method, zone):
+        """Evacuate (POST) or restore (DELETE) a zone; return when that was acknowledged, or None.
+
+        The request is repeated for `EVACUATION_ATTEMPTS_S`.
+        """
+        deadline = self.clock.now() + EVACUATION_ATTEMPTS_S
+        while self.clock.now() < deadline:
+            if await self.send_request(method, None, evacuation_path(zone)) == 200:
+                return self.clock.now()
+            await asyncio.sleep(0.1)
+        return None
+
     async def put_configuration(self, version, body, valid):
         """Send one configuration until it is acknowledged or refused, or no attempt is left."""
         record = ConfigurationRecord(version, body, self.clock.now(), valid=valid)
@@ -344,9 +362,9 @@
                 return
             await asyncio.sleep(0.1)
 
-    async def send_request(self, method, body):
+    async def send_request(self, method, body, path=CONFIGURATION_PATH):
         """Send a request to a random control instance; return the status, 0 without a response."""
-        url = f"http://{self.rng.choice(self.addresses)}{CONFIGURATION_PATH}"
+        url = f"http://{self.rng.choice(self.addresses)}{path}"
         try:
             async with asyncio.timeout(OPERATOR_TIMEOUT_S):
                 async with self.session.request(method, url, data=body) as response:
--- a/onyxfork/workload/soak/run.py
+++ b/onyxfork/workload/soak/run.py
@@ -22,7 +22,7 @@
 )
 from onyxfork.workload.soak.faults import FaultInjector
 from onyxfork.workload.soak.load import Balancer, Callers, Operators
-from onyxfork.workload.soak.schedule import RECOVERY_S, SoakSize, draw_schedule
+from onyxfork.workload.soak.schedule import RECOVERY_S, SoakSize, draw_schedule, zone_of
 
 __all__ = ["SoakVerdict", "run_soak"]
 
@@ -170,6 +170,7 @@
         records.ended_at = clock.now()
         for worker in cluster.workers.values():
             records.runs += worker.journal
+            records.zones[f"i-{worker.name}"] = zone_of(worker.name)
             if not worker.guards_capacity:
                 changes = [(0.0, WORKER_CPU), *worker.capacities]
                 records.capacities[f"i-{worker.name}"] = changes
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-__all__ = ["Fault", "SoakSize", "draw_schedule", "RECOVERY_S", "UNPLANNED_KINDS"]
+__all__ = ["Fault", "SoakSize", "draw_schedule", "RECOVERY_S", "UNPLANNED_KINDS", "zone_of"]
 
 WARM_UP_S = 2.0
 """Time from the start of the load to the first fault."""
@@ -53,8 +53,8 @@
 LINK_KINDS = ("delay", "reset", "cut", "lose", "silence")
 WORKER_KINDS = ("crash", "reborn", "fail", "hang", "late", "mute", "shed", "slow", "leave")
 LOAD_KINDS = ("burst", "give_up", "storm", "race", "invalid")
-LATER_KINDS = ("crashing", "shrink")
-"""Kinds that are drawn from a random sequence of their own, so that the other faults of a seed stay
+LATER_KINDS = ("crashing", "shrink", "evacuate")
+"""Kinds that are drawn from random sequences of their own, so that the other faults of a seed stay
 the same."""
 
 CRASHING_PERIOD_SHARE = 0.5
@@ -67,7 +67,18 @@
 MIN_SHRINK_FACTOR, MAX_SHRINK_FACTOR = 1.5, 8.0
 """Mean time between two shrinks of a worker's capacity, and factor by which it shrinks."""
 
+EVACUATION_SHARE = 0.5
+"""Probability that a schedule has evacuations of zones."""
+
+MAX_EVACUATIONS = 3
+MIN_EVACUATION_S, MAX_EVACUATION_S = 6.5, 10.0
+"""Duration of an evacuation: longer than the 5 s after which no task may start in the zone, and
+short enough to end during a soak."""
+
+ZONE_COUNT = 3
+
 PLANNED_KINDS = (
+    "evacuate",
     "term",
     "hup",
     "storm",
@@ -110,6 +121,16 @@
 
     count_fields = {"control": "controls", "entry": "entries", "agent": "agents"}
 
+    @property
+    def zones(self):
+        """Availability zones that have agents."""
+        return sorted({zone_of(name) for name in self.names("agent")})
+
+
+def zone_of(name):
+    """Return the availability zone of a process."""
+    return f"zone-{int(name.rpartition('-')[2]) % ZONE_COUNT + 1}"
+
 
 @define
 class Fault:
@@ -121,7 +142,7 @@
         Start, in seconds from the start of the load, and duration.
     kind : str
     target : str
-        A process; for links, the source of the affected direction.
+        A process; for links, the source of the affected direction; for ``evacuate``, a zone.
     other : str
         For links, the destination of the affected direction.
     amount : float
@@ -235,11 +256,12 @@
     if draw.rng.random() < KILL_ALL_SHARE and draw.is_allowed(kill_all):
         draw.faults.append(kill_all)
     faults = [*draw.faults, *draw_later_faults(Random(f"{seed} later"), seconds, size)]
+    faults += draw_evacuations(Random(f"{seed} evacuations"), seconds, size)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
 def draw_later_faults(rng, seconds, size):
-    """Draw the faults of `LATER_KINDS`."""
+    """Draw periods of crashing jobs and shrinks of workers."""
     faults = []
     if rng.random() < CRASHING_PERIOD_SHARE:
         at_s = rng.uniform(WARM_UP_S, seconds)
@@ -255,6 +277,22 @@
     return faults
 
 
+def draw_evacuations(rng, seconds, size):
+    """Draw evacuations of zones, which may overlap; each zone is evacuated at most once."""
+    if rng.random() >= EVACUATION_SHARE:
+        return []
+    zones = rng.sample(size.zones, rng.randint(1, min(MAX_EVACUATIONS, len(size.zones))))
+    return [
+        Fault(
+            rng.uniform(WARM_UP_S, max(WARM_UP_S, seconds - MIN_EVACUATION_S)),
+            "evacuate",
+            zone,
+            duration_s=rng.uniform(MIN_EVACUATION_S, MAX_EVACUATION_S),
+        )
+        for zone in zones
+    ]
+
+
 def add_repeats(draw, first):
     """Repeat a fault with the same target and duration, as far as the repetitions are allowed."""
     at_s = first.at_s
--- a/tests/workload/soak/test_checks.py
+++ b/tests/workload/soak/test_checks.py
@@ -6,8 +6,10 @@
 from onyxfork.workload.soak.checks import (
     MAX_APPLY_DELAY_S,
     MAX_START_AFTER_DRAIN_S,
+    MAX_START_AFTER_EVACUATION_S,
     SHRINK_GRACE_S,
     ConfigurationRecord,
+    EvacuationRecord,
     JobRecord,
     SoakRecords,
     find_violations,
@@ -36,6 +38,8 @@
         ConfigurationRecord(3, b"three", 55.0, status=200, is_read=True),
     ]
     records.drains = [("i-9", 20.0)]
+    records.zones = {"i": "a", "i-b": "b"}
+    records.evacuations = [EvacuationRecord("a", 20.0, 27.0, 27.1)]
     return records
 
 
@@ -71,6 +75,15 @@
     records.drains.append(("i-1", 51.0 - MAX_START_AFTER_DRAIN_S))
 
 
+def start_in_an_evacuated_zone(records):
+    acked_at = 51.0 - MAX_START_AFTER_EVACUATION_S
+    records.evacuations.append(EvacuationRecord("a", acked_at, 52.0, 52.1))
+
+
+def evacuation_without_an_acknowledgement(records):
+    records.evacuations.append(EvacuationRecord("b", None, 52.0, 52.1))
+
+
 def task_started_again_and_again_after_crashes(records):
     records.runs += [
         make_run(10.0 + number, 10.5 + number, "crashed", number, f"i-w-{number}", index=5)
@@ -127,6 +140,8 @@
         (completed_answer_with_a_failed_task, "partial answer"),
         (failure_without_a_failed_run, "false failure"),
         (start_on_a_draining_worker, "start on a draining worker"),
+        (start_in_an_evacuated_zone, "start in an evacuated zone"),
+        (evacuation_without_an_acknowledgement, "evacuation of b was not acknowledged"),
         (task_started_again_and_again_after_crashes, "crashing task"),
         (start_over_a_shrunk_capacity, "over capacity"),
         (failure_after_one_crash, "false failure"),
@@ -159,3 +174,13 @@
         for number in range(5)
     ]
     assert find_violations(records) == []
+
+
+def test_start_is_allowed_within_the_bound_after_the_restoration_and_in_other_zones():
+    records = make_records()
+    records.evacuations += [
+        EvacuationRecord("a", 51.2 - MAX_START_AFTER_EVACUATION_S, 58.0, 58.1),
+        EvacuationRecord("a", 40.0, 51.0, 53.0),
+        EvacuationRecord("b", 40.0, 58.0, 58.1),
+    ]
+    assert find_violations(records) == []
