--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -24,6 +24,7 @@
     "FetchDocument",
     "DocumentTransfer",
     "AgentAnnounced",
+    "EvacuationsAnnounced",
     "CrashCount",
     "CrashReport",
 ]
@@ -223,7 +224,8 @@
     service : str
         The kind of worker.
     state : str
-        ``ready``, ``draining``, ``suspect`` (does not answer) or ``absent``.
+        ``ready``, ``draining``, ``evacuated`` (so is its zone), ``suspect`` (does not answer) or
+        ``absent``.
     cpu, memory_mb, gpu : int
         Total capacity.
     cpu_free, memory_free, gpu_free : int
@@ -237,6 +239,8 @@
     labels : list of str
     clock : float
         The agent's clock at the time of the report; `PlaceTasks` sends it back.
+    cold_left_ms : float
+        For a worker in a restored zone, how long it remains slow because it is cold.
     """
 
     worker: str
@@ -253,6 +257,7 @@
     failure_share: float
     labels: list[str] = field(factory=list)
     clock: float = 0.0
+    cold_left_ms: float = 0.0
 
 
 @message(140)
@@ -346,3 +351,22 @@
     """
 
     agent: DirectoryNode
+
+
+@message(147)
+@define
+class EvacuationsAnnounced:
+    """Sent by control to nodes, and between entries and agents: all evacuated zones.
+
+    Parameters
+    ----------
+    index : int
+        Log index of the change that resulted in this list; a node ignores a lower one.
+    zones : list of str
+    age_ms : float
+        Time since that change, as far as the sender knows.
+    """
+
+    index: int
+    zones: list[str]
+    age_ms: float = 0.0
