Two polls while a worker leaves calls unanswered; a start that is listed counts as started

Cause: a worker that leaves one call in twenty unanswered also does so with renewals, from whose answers the agent learns the ends of runs. A start whose answer was lost was stopped although the task ran. Change: the timeout of renewals follows the measured answer times; after an unanswered call a second poll is kept open for 5 s; an answer that overtakes another poll ends that one; a run that the worker lists counts as started. A worker is suspect after 0.5 s without an answer, as long as its connections stay open.

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -13,6 +13,7 @@
 from onyxfork.direct.documents import compress_document
 from onyxfork.direct.lease import FencingToken, Lease, WorkerClock
 from onyxfork.direct.links import ControlLinks
+from onyxfork.direct.list_polls import ListPolls
 from onyxfork.direct.messages import (
     AgentAnnounced,
     CrashReport,
@@ -81,6 +82,8 @@
     ----------
     last_end : int
         Number of the latest ended run that the worker has reported.
+    list_polls : ListPolls
+        Requests for the worker's lists of runs.
     missed_renewals : int
         Renewals of the lease without an answer since the latest answer.
     lost_entries : LostEntries
@@ -107,6 +110,8 @@
         self.worker_clock = WorkerClock()
         self.lease = Lease(settings.lease_ms)
         self.answer_times = AnswerTimes()
+        self.list_polls = ListPolls(client, clock)
+        telemetry.gauge("worker_calls_lost", lambda: self.list_polls.lost)
         self.last_end = 0
         self.missed_renewals = 0
         self.takeover_complete = asyncio.Event()
@@ -376,6 +381,7 @@
     async with owned_tasks() as spawn:
         agent.spawn = spawn
         spawn(agent.keep_lease())
+        spawn(agent.watch_lists())
         spawn(agent.tick_periodically())
         spawn(agent.control.run(spawn))
         spawn(serve_after_takeover(agent))
--- a/onyxfork/direct/worker_client.py
+++ b/onyxfork/direct/worker_client.py
@@ -78,7 +78,7 @@
         """Stop a run, or prevent its start; return a `Reply` within `timeout_s`."""
 
     @abstractmethod
-    async def renew_lease(self, worker, until_ms, token, last_end, wait_ms, fresh):
+    async def renew_lease(self, worker, until_ms, token, last_end, wait_ms, fresh, timeout_s):
         """Renew the lease and return a `LeaseReply` with the lists of runs.
 
         Parameters
@@ -93,4 +93,6 @@
             How long the worker may hold its answer until a run ends.
         fresh : bool
             Use a new connection, because open ones may be broken.
+        timeout_s : float
+            Time allowed for the answer, `wait_ms` included.
         """
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -23,8 +23,16 @@
 SUSPECT_MISSED_RENEWALS = 2
 """Unanswered renewals in a row after which the worker is reported to entries as suspect."""
 
+MIN_SUSPECT_SILENCE_S = 0.5
+"""A worker whose connections stay open is suspect only after this long without an answer. One that
+loses one call in twenty misses two renewals in a row every few seconds, yet it runs its tasks."""
+
 RETRY_DELAY_S = 0.05
-"""Pause after a failed renewal, and unit of the pause after an unanswered order to stop."""
+"""Pause after a renewal that was refused or whose connection failed, and unit of the pause after an
+unanswered order to stop."""
+
+WATCH_REVIEW_S = 0.05
+"""Interval at which `watch_lists` checks whether a second poll is needed."""
 
 MAX_RETRY_DELAY_FACTOR = 4
 """Upper bound on the pause between orders to stop, in multiples of `RETRY_DELAY_S`."""
@@ -79,14 +87,57 @@
                 self.worker_known.clear()
                 await self.worker_known.wait()
                 continue
-            renewed = False
+            delay_s = RETRY_DELAY_S
             with logged_failures(log, "renewal of the lease failed"):
-                renewed = await self.renew_lease(worker)
-            if not renewed:
-                await asyncio.sleep(RETRY_DELAY_S)
+                delay_s = await self.renew_lease(worker)
+            if delay_s:
+                await asyncio.sleep(delay_s)
+
+    async def watch_lists(self):
+        """Request the lists of runs beside the renewals while the worker leaves calls unanswered.
+
+        The end of a run is learnt from the answer to a long poll. If that answer is lost, all runs
+        that end before the poll times out are reported late. With two polls one is answered.
+        """
+        while True:
+            worker = self.arbiter.worker
+            now = self.clock.now()
+            if worker is None or not self.arbiter.runs or not self.list_polls.is_lossy(now):
+                await asyncio.sleep(WATCH_REVIEW_S)
+                continue
+            delay_s = RETRY_DELAY_S
+            with logged_failures(log, "reading the lists of runs failed"):
+                delay_s = await self.poll_lists(worker, RENEWAL_WAIT_MS)
+            if delay_s:
+                await asyncio.sleep(delay_s)
+
+    async def poll_lists(self, worker, wait_ms):
+        """Request the lists of runs without a renewal; return the delay before the next request.
+
+        Parameters
+        ----------
+        worker : Worker
+        wait_ms : int
+            How long the worker may delay its answer until a run ends.
+
+        Returns
+        -------
+        float
+            Seconds.
+        """
+        asked_at = self.clock.now()
+        reply = await self.list_polls.request(
+            worker, None, self.token.value, self.last_end, wait_ms
+        )
+        if reply.answer != "ok" or not self.is_current_lifetime(worker):
+            return RETRY_DELAY_S if reply.connection_lost or reply.answer != "unanswered" else 0.0
+        if reply.started_ms <= worker.started_ms:
+            self.on_renewal_answered(self.clock.now())
+            self.apply_lists(reply, asked_at, self.clock.now())
+        return 0.0
 
     async def renew_lease(self, worker):
-        """Renew the lease once; return whether the next renewal may follow without a delay."""
+        """Renew the lease once; return the delay before the next renewal in seconds."""
         sent_at = self.clock.now()
         token = self.token.value
         until_ms = None
@@ -99,27 +150,26 @@
         if self.takeover_complete.is_set() and not self.missed_renewals:
             wait_ms = RENEWAL_WAIT_MS if self.arbiter.runs else IDLE_RENEWAL_WAIT_MS
         new_connection = self.missed_renewals > 0
-        reply = await self.client.renew_lease(
+        reply = await self.list_polls.request(
             worker, until_ms, token, self.last_end, wait_ms, new_connection
         )
         now = self.clock.now()
         if not self.is_current_lifetime(worker):
-            return True
+            return 0.0
         if reply.answer != "ok":
             self.on_failed_renewal(reply, token, sent_at, now)
-            return False
+            return RETRY_DELAY_S if reply.connection_lost or reply.answer != "unanswered" else 0.0
         # The worker may delay its answer; it reads its clock just before it answers.
         self.worker_clock.update(reply.clock_ms, max(sent_at, now - 0.002), now)
         if reply.started_ms > worker.started_ms:
             self.arbiter.on_lifetime_lost("the worker has restarted", now)
             self.on_renewal_answered(now)
             self.apply_decisions()
-            return True
+            return 0.0
         self.on_renewal_answered(now)
-        if not self.token.on_accepted():
-            return True
-        self.apply_lists(reply, sent_at, now)
-        return True
+        if self.token.on_accepted():
+            self.apply_lists(reply, sent_at, now)
+        return 0.0
 
     def on_failed_renewal(self, reply, token, sent_at, now):
         """Handle a renewal that was refused or not answered."""
@@ -129,9 +179,11 @@
             return
         self.missed_renewals += 1
         self.arbiter.on_renewal_missed(now if reply.connection_lost else sent_at, now)
-        if self.missed_renewals == SUSPECT_MISSED_RENEWALS:
-            log.warning("worker does not answer", extra={"answer": reply.answer})
-        if self.missed_renewals >= SUSPECT_MISSED_RENEWALS:
+        if self.missed_renewals >= SUSPECT_MISSED_RENEWALS and (
+            reply.connection_lost or now - self.arbiter.last_answer_at >= MIN_SUSPECT_SILENCE_S
+        ):
+            if self.arbiter.responsive:
+                log.warning("worker does not answer", extra={"answer": reply.answer})
             self.arbiter.set_responsive(False, now)
         if self.lease.has_expired(now):
             self.arbiter.on_lease_expired(now)
@@ -139,7 +191,7 @@
 
     def on_renewal_answered(self, now):
         """Reset the count of missed renewals."""
-        if self.missed_renewals >= SUSPECT_MISSED_RENEWALS:
+        if not self.arbiter.responsive:
             log.info("worker answers again", extra={"misses": self.missed_renewals})
         self.missed_renewals = 0
         self.arbiter.on_renewal_answered(now)
@@ -173,6 +225,8 @@
             answer = "stale"
         elif worker is not None:
             answer = await self.send_start(worker, run)
+            if answer == "unanswered" and await self.is_listed(worker, run):
+                answer = "started"
         if answer not in ("started", "returned", "stale"):
             fields = {"task": task_name(run.order.ref), "run": run.order.run, "answer": answer}
             log.info("start order failed", extra=fields)
@@ -196,6 +250,7 @@
             self.worker_clock.update(reply.clock_ms, sent_at, now)
             if reply.answer == "unanswered":
                 self.answer_times.record_timeout()
+                self.list_polls.on_call_lost(now)
             elif reply.answer != "unsent":
                 self.answer_times.record(now - sent_at)
             if reply.answer != "fence":
@@ -218,14 +273,13 @@
     async def read_lists(self):
         """Request the lists without a renewal, to learn whether an unconfirmed run has ended."""
         worker = self.arbiter.worker
-        if worker is None:
-            return
-        asked_at = self.clock.now()
-        reply = await self.client.renew_lease(
-            worker, None, self.token.value, self.last_end, 0, False
-        )
-        if reply.answer == "ok" and self.is_current_lifetime(worker):
-            self.apply_lists(reply, asked_at, self.clock.now())
+        if worker is not None:
+            await self.poll_lists(worker, 0)
+
+    async def is_listed(self, worker, run):
+        """Return whether the worker runs a task although the order to start was not answered."""
+        reply = await self.list_polls.request(worker, None, self.token.value, self.last_end, 0)
+        return reply.answer == "ok" and run.order.ref in reply.running
 
     async def send_stop(self, ref):
         """Send an order to stop until it is acknowledged, at most `MAX_STOP_ATTEMPTS` times."""
--- a/onyxfork/platform/workers.py
+++ b/onyxfork/platform/workers.py
@@ -14,9 +14,6 @@
 
 log = logging.getLogger(__name__)
 
-RENEWAL_TIMEOUT_SLACK_S = 0.2
-"""Time allowed for a lease renewal beyond the wait that the request asks of the worker."""
-
 MAX_CONNECTIONS = 48
 """Below the 64 connections that a worker accepts."""
 
@@ -105,13 +102,12 @@
         body = {"task": encode_task(ref), "run": ref.run, "fencingToken": token}
         return await self.call(Reply, "/run-stop", worker, body, timeout_s)
 
-    async def renew_lease(self, worker, until_ms, token, last_end, wait_ms, fresh):
+    async def renew_lease(self, worker, until_ms, token, last_end, wait_ms, fresh, timeout_s):
         # lastSeen acknowledges ends: the worker drops those up to this number from its list.
         # waitMs: how long the worker may hold the request open until a run ends.
         body = {"fencingToken": token, "lastSeen": last_end, "waitMs": wait_ms}
         if until_ms is not None:
             body["untilMs"] = until_ms
-        timeout_s = wait_ms / 1000 + RENEWAL_TIMEOUT_SLACK_S
         return await self.call(LeaseReply, "/hold", worker, body, timeout_s, fresh)
 
     async def call(
--- /dev/null
+++ b/tests/direct/test_list_polls.py
@@ -0,0 +1,111 @@
+"""Workers that leave calls unanswered and carry them out late.
+
+Guards against jobs that are late because the ends of their runs are learnt late, and against work
+that is stopped although only the answer to its start was lost.
+"""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent))
+from builders import make_request, make_worker  # noqa: E402
+from test_path import StandInWorker, run_path, until  # noqa: E402
+
+from onyxfork.direct.list_polls import LOSSY_PERIOD_S, ListPolls  # noqa: E402
+from onyxfork.direct.worker_client import LeaseReply, Reply  # noqa: E402
+from onyxfork.utils import SystemClock  # noqa: E402
+
+
+class LossyWorker(StandInWorker):
+    """Worker that leaves some polls, and the answers to some starts, unanswered."""
+
+    def __init__(self, run_s=None):
+        super().__init__(run_s)
+        self.polls_lost_until = 0
+        self.polls = 0
+        self.start_answers_lost = 0
+        self.timeouts_s = []
+
+    async def renew_lease(self, worker, until_ms, token, last_end, wait_ms, fresh, timeout_s):
+        self.polls += 1
+        self.timeouts_s.append(timeout_s)
+        if wait_ms and self.polls <= self.polls_lost_until:
+            await asyncio.sleep(timeout_s)
+            return LeaseReply("unanswered")
+        return await super().renew_lease(
+            worker, until_ms, token, last_end, wait_ms, fresh, timeout_s
+        )
+
+    async def start(self, worker, order, until_ms, token, timeout_s):
+        reply = await super().start(worker, order, until_ms, token, timeout_s)
+        if self.start_answers_lost:
+            self.start_answers_lost -= 1
+            return Reply("unanswered")
+        return reply
+
+
+async def test_run_whose_start_answer_is_lost_goes_on():
+    worker = LossyWorker(run_s=0.2)
+    worker.start_answers_lost = 1
+    async with run_path(worker) as (entry, agent):
+        outcome = await entry.run_job(make_request(tasks=1, ms=200.0))
+    assert (outcome.state, len(worker.started), worker.stopped) == ("completed", 1, [])
+
+
+async def test_second_poll_is_open_only_while_calls_are_lost():
+    worker = LossyWorker()
+    async with run_path(worker) as (entry, agent):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: worker.running)
+        await asyncio.sleep(0.15)
+        assert len(agent.list_polls.open_polls) == 1
+        agent.list_polls.on_call_lost(agent.clock.now())
+        await until(lambda: len(agent.list_polls.open_polls) == 2)
+        agent.list_polls.lost_at -= LOSSY_PERIOD_S
+        await until(lambda: len(agent.list_polls.open_polls) == 1)
+        job.cancel()
+
+
+async def test_worker_that_answers_one_of_two_polls_is_not_suspect():
+    worker = LossyWorker()
+    async with run_path(worker) as (entry, agent):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: worker.running)
+        agent.list_polls.on_call_lost(agent.clock.now())
+        await until(lambda: len(agent.list_polls.open_polls) == 2)
+        worker.polls_lost_until = worker.polls + 2
+        await until(lambda: worker.polls > worker.polls_lost_until + 2)
+        assert agent.arbiter.responsive
+        job.cancel()
+
+
+class ScriptedClient:
+    """Client whose polls are answered by the test."""
+
+    def __init__(self):
+        self.futures = []
+
+    async def renew_lease(self, *arguments):
+        self.futures.append(asyncio.get_running_loop().create_future())
+        return await self.futures[-1]
+
+
+@pytest.mark.parametrize("known_end, answer", [(4, "unanswered"), (5, "ok")])
+async def test_poll_is_given_up_when_another_one_was_answered_with_an_end_it_waits_for(
+    known_end, answer
+):
+    client = ScriptedClient()
+    polls = ListPolls(client, SystemClock())
+    lost = asyncio.create_task(polls.request(make_worker(), None, 1, known_end, 100))
+    other = asyncio.create_task(polls.request(make_worker(), None, 1, 4, 100))
+    await until(lambda: len(client.futures) == 2)
+    client.futures[1].set_result(LeaseReply("ok", 1, 1, {}, [("ref", "done")], 5))
+    assert (await other).answer == "ok"
+    await asyncio.sleep(0.05)
+    if not lost.done():
+        client.futures[0].set_result(LeaseReply("ok", 1))
+    assert (await lost).answer == answer
+    assert polls.is_lossy(SystemClock().now()) == (answer == "unanswered")
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -53,7 +53,7 @@
             self.ended_runs.append((ref, outcome))
             self.run_ended.set()
 
-    async def renew_lease(self, worker, until_ms, token, last_end, wait_ms, fresh):
+    async def renew_lease(self, worker, until_ms, token, last_end, wait_ms, fresh, timeout_s):
         if not self.responsive:
             return LeaseReply("unanswered")
         self.run_ended.clear()
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -170,7 +170,7 @@
         room = await client.start(worker, make_order(index=1, run=3), 500, 11, 1.0)
         fence = await client.start(worker, make_order(index=2), 500, 11, 1.0)
         stop = await client.stop(worker, TaskRef(ID, 0, 4, 2), 11, 1.0)
-        hold = await client.renew_lease(worker, 600, 11, 57, 100, False)
+        hold = await client.renew_lease(worker, 600, 11, 57, 100, False, 0.3)
     assert (room.answer, fence.answer, stop.answer) == ("room", "fence", "ok")
     assert calls[0] == (
         "/run-start",
@@ -186,7 +186,7 @@
 
 async def test_unreachable_worker_or_malformed_response_leaves_calls_unanswered():
     async with open_worker_client(free_address()) as client:
-        reply = await client.renew_lease(make_worker(), None, 1, 0, 0, True)
+        reply = await client.renew_lease(make_worker(), None, 1, 0, 0, True, 0.2)
         assert reply.answer == "unanswered"
         stop = await client.stop(make_worker(), make_order().ref, 1, 1.0)
         assert (stop.answer, stop.connection_lost) == ("unanswered", True)
