--- a/onyxfork/direct/control.py
+++ b/onyxfork/direct/control.py
@@ -4,10 +4,12 @@
 import logging
 from contextlib import suppress
 
+from onyxfork.control.raft_messages import COMMAND
 from onyxfork.control.replica import Replica
 from onyxfork.direct.control_state import Configure, DocumentState, SetEvacuation
 from onyxfork.direct.directory import NodeDirectory
 from onyxfork.direct.messages import FetchDocument, Register
+from onyxfork.messages.codec import unpack
 
 __all__ = ["DocumentReplica"]
 
@@ -45,7 +47,7 @@
     def make_fanout(self):
         """Return the `NodeDirectory` that sends updates to connected nodes."""
         directory = NodeDirectory(self.state, self.clock, self.control_addresses)
-        directory.is_announcing = False
+        directory.is_announcing = not self.holds_evacuations()
         return directory
 
     def control_addresses(self):
@@ -72,12 +74,20 @@
         self.spawn(self.announce_once_current())
         await super().update_followers()
 
+    def holds_evacuations(self):
+        """Return whether the recovered state or a log entry, committed or not, evacuates a zone."""
+        if self.state.evacuation_request_index:
+            return True
+        commands = (entry.data for entry in self.raft.log.entries if entry.kind == COMMAND)
+        return any(isinstance(unpack(data)[0], SetEvacuation) for data in commands)
+
     async def announce_once_current(self):
         """Let the directory announce the state once a linearizable read has been confirmed.
 
         After a restart the state is that of the latest snapshot until a leader confirms which
         entries are committed. Nodes that have lost power too would start tasks with it in a zone
-        that was evacuated later.
+        that was evacuated later. An instance that holds no evacuation announces at once, so that
+        nodes get a configuration also while there is no leader.
         """
         confirmed = False
         while not confirmed:
--- a/tests/direct/test_evacuation_commits.py
+++ b/tests/direct/test_evacuation_commits.py
@@ -66,10 +66,21 @@
         started_at = replica.clock.now()
         assert not await replica.set_evacuation("a", True)
         assert replica.clock.now() - started_at < ANSWER_TIMEOUT_S + 0.3
-        assert not replica.fanout.is_announcing
         assert replica.state.evacuated_zones == frozenset()
 
 
+async def test_restarted_instance_with_an_evacuation_announces_nothing_without_a_quorum(tmp_path):
+    """Guards against a configuration that reaches nodes before a later evacuation does."""
+    async with running_replica(tmp_path) as replica:
+        assert replica.fanout.is_announcing
+        await commit(replica, "a", True)
+        while not await replica.configure(1, b"x"):
+            pass
+    async with running_replica(tmp_path, WITHOUT_QUORUM) as replica:
+        await asyncio.sleep(0.2)
+        assert not replica.fanout.is_announcing
+
+
 # Guards against an acknowledgement without a commit, and against giving up after a lost answer.
 async def test_commit_with_an_unknown_outcome_is_proposed_again(tmp_path, monkeypatch):
     async with running_replica(tmp_path) as replica:
