Start waiting tasks by precedence at entries and agents

Waiting tasks started by latest start alone, so that long tasks of a low-priority queue that had waited went before urgent ones. Orders carry the priority, and agents report the cores that each priority holds.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -79,10 +79,10 @@
     capacity for. A single task starts as soon as there is free capacity; the last of several also
     waits until runs have ended on as many cores as the job needs.
     """
-    latest_start = min(job.latest_start(task) for task in job.tasks)
+    own_key = min(job.start_key(task) for task in job.tasks)
     work_millicore_ms = millicores_ahead = 0.0
     for task in waiting:
-        if task.job.latest_start(task) <= latest_start:
+        if task.job.start_key(task) <= own_key:
             work_millicore_ms += task.spec.cpu * task.expected_ms
             millicores_ahead += task.spec.cpu
     if not millicores_ahead:
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -16,6 +16,7 @@
 from onyxfork.direct.arbiter_lists import WorkerLists
 from onyxfork.direct.crashes import CrashTable
 from onyxfork.direct.messages import WorkerStatus
+from onyxfork.direct.precedence import OVERDUE_PENALTY_S, priority_index
 from onyxfork.direct.progress import (
     SLOW_FACTOR,
     find_runs_to_restart,
@@ -35,10 +36,6 @@
 MAX_ENDED_EVENTS = 4096
 """Upper bound on the events of ended runs that a session stores for an entry that reconnects."""
 
-OVERDUE_PENALTY_S = 60.0
-"""Added to the latest start of a run that is overdue, so that it does not delay runs that can still
-start in time."""
-
 RUN_TIME_EMA_WEIGHT = 0.1
 """Weight of the latest run in the moving average of run times over their estimates."""
 
@@ -148,6 +145,7 @@
         self.cpu_limit = 0
         self.cpu_used = self.memory_used = self.gpu_used = 0
         self.cpu_queued = self.memory_queued = self.gpu_queued = 0
+        self.cpu_by_priority = []
         self.log_run_time_ratio = 0.0
         self.failure_share = 0.0
         self.current_run_time_ratio = None
@@ -242,7 +240,7 @@
     # Starts and stops
 
     def schedule(self, now):
-        """Request the start of queued runs in the order of their latest start, while they fit.
+        """Request the start of queued runs by precedence and latest start, while they fit.
 
         Runs of a stale session stay queued until the agent receives a newer clock value from the
         entry: until then the entry may have sent their tasks to another worker.
@@ -252,13 +250,13 @@
         if self.state == READY and now >= self.unhealthy_until:
             self.start_waiting_suspect(now)
         while self.queue and self.state == READY and now >= self.unhealthy_until:
-            latest_start, _, run = self.queue[0]
+            key, _, run = self.queue[0]
             if run.state != QUEUED or self.runs.get(run.key) is not run:
                 heapq.heappop(self.queue)
                 continue
-            if latest_start < now:
+            if run.latest_start < now and key < run.latest_start + OVERDUE_PENALTY_S:
                 heapq.heapreplace(
-                    self.queue, (latest_start + OVERDUE_PENALTY_S, next(self.sequence), run)
+                    self.queue, (key + OVERDUE_PENALTY_S, next(self.sequence), run)
                 )
                 continue
             if self.is_session_stale(run.session, now):
@@ -306,12 +304,21 @@
         self.cpu_used += sign * run.order.cpu
         self.memory_used += sign * run.order.memory_mb
         self.gpu_used += sign * run.order.gpu
+        self.count_priority(run, sign)
 
     def count_queued(self, run, sign):
         """Add a run to the capacity that queued runs need, or subtract it with a sign of -1."""
         self.cpu_queued += sign * run.order.cpu
         self.memory_queued += sign * run.order.memory_mb
         self.gpu_queued += sign * run.order.gpu
+        self.count_priority(run, sign)
+
+    def count_priority(self, run, sign):
+        """Add a run to the cores that its priority holds, or subtract it with a sign of -1."""
+        index = priority_index(run.order.priority)
+        held = self.cpu_by_priority
+        held.extend([0] * (index + 1 - len(held)))
+        held[index] += sign * run.order.cpu
 
     def stop(self, run, reason, now):
         """Return a queued run to its entry, or stop a started run through the worker.
@@ -470,4 +477,5 @@
             self.failure_share,
             worker.labels if worker else [],
             now,
+            list(self.cpu_by_priority),
         )
--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -7,6 +7,7 @@
 import logging
 
 from onyxfork.direct.messages import TaskEvent
+from onyxfork.direct.precedence import start_key
 from onyxfork.direct.runs import QUEUED, READY, RUNNING, STALE_AFTER_S, TOO_LARGE, Run, Session
 
 __all__ = ["EntrySessions"]
@@ -110,7 +111,8 @@
             run = Run(order, session, now, now + order.slack_ms / 1000)
             self.runs[run.key] = run
             self.count_queued(run, 1)
-            heapq.heappush(self.queue, (run.latest_start, next(self.sequence), run))
+            key = start_key(run.latest_start, order.priority)
+            heapq.heappush(self.queue, (key, next(self.sequence), run))
 
     def record_suspension(self, now):
         """Treat all clock values sent before `now` as stale after a suspension of the machine."""
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -27,6 +27,7 @@
 from onyxfork.direct.estimates import EstimateTable
 from onyxfork.direct.jobs import PLACED, WAITING, make_job
 from onyxfork.direct.placement import can_ever_run, choose_worker
+from onyxfork.direct.precedence import OVERDUE_PENALTY_S
 from onyxfork.direct.requests import REFUSED, UNKNOWN, JobOutcome
 from onyxfork.direct.subsets import ANY_LABEL
 from onyxfork.direct.workers import RunTimeBaseline
@@ -52,10 +53,6 @@
 """If a task has found no worker for this long since its job arrived, the entry needs more agents;
 a full subset of workers ends a run every few milliseconds."""
 
-OVERDUE_PENALTY_S = 60.0
-"""Added to the heap key of a task that is late, so that it sorts after all tasks that can still be
-on time; longer than any slack."""
-
 
 class Dispatcher(AgentEventMixin):
     """Schedule the jobs of one entry on the workers that it knows.
@@ -76,7 +73,7 @@
     workers : dict of str to WorkerView
         Workers by the node name of their agent.
     waiting_heap : list
-        Waiting tasks by latest start; may also hold tasks that no longer wait.
+        Waiting tasks by precedence and latest start; may also hold tasks that no longer wait.
     waiting_tasks : set of Task
         Tasks that wait for free capacity.
     unstarted_tasks : set of Task
@@ -243,14 +240,14 @@
         """Add a task to the tasks that wait for free capacity."""
         task.state = WAITING
         self.waiting_tasks.add(task)
-        self.push_waiting(task, task.job.latest_start(task))
+        self.push_waiting(task, task.job.start_key(task))
 
     def push_waiting(self, task, key):
-        """Push a waiting task onto the heap; `key` is its latest start, plus a penalty if late."""
+        """Push a waiting task onto the heap; `key` is its start key, plus a penalty if late."""
         heapq.heappush(self.waiting_heap, (key, next(self.heap_sequence), task))
 
     def place_waiting_tasks(self, now):
-        """Place waiting tasks, least slack first, while workers have free capacity.
+        """Place waiting tasks by precedence, then least slack, while workers have free capacity.
 
         A task that can no longer be on time comes after all that can: placing it first would make
         the next one late too. The search stops after four tasks that fit no worker now.
@@ -261,7 +258,8 @@
             key, _, task = item
             if task not in self.waiting_tasks:
                 continue
-            if key < now:
+            latest_start = task.job.latest_start(task)
+            if latest_start < now and key < latest_start + OVERDUE_PENALTY_S:
                 self.push_waiting(task, key + OVERDUE_PENALTY_S)
                 continue
             view = choose_worker(
--- a/onyxfork/direct/jobs.py
+++ b/onyxfork/direct/jobs.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 from onyxfork.direct.messages import TaskOrder, TaskRef
+from onyxfork.direct.precedence import start_key
 
 __all__ = ["Task", "Job", "make_job", "longest_chain_ms"]
 
@@ -97,6 +98,7 @@
             slack_ms,
             self.crashes,
             self.suspected,
+            self.job.priority,
         )
 
 
@@ -135,6 +137,11 @@
     first_placed_at: float | None = None
     latest_worker: str = ""
 
+    @property
+    def priority(self):
+        """Priority of the job's queue, 0 is the highest."""
+        return self.request.queue.priority
+
     @property
     def may_have_started(self):
         """Whether any task may have started."""
@@ -149,6 +156,10 @@
         """Return the latest start of `task` that meets the job's objective (monotonic seconds)."""
         return self.due_at - self.chain_ms[task.step] / 1000
 
+    def start_key(self, task):
+        """Return the key by which `task` is ordered among waiting tasks."""
+        return start_key(self.latest_start(task), self.priority)
+
     def answer_expiry(self, factor):
         """Return the time `factor` latency objectives after the arrival (monotonic seconds)."""
         return self.arrived_at + factor * (self.due_at - self.arrived_at)
--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -67,6 +67,8 @@
     crashes, suspected : int
         Workers that have crashed while they ran the task, and those of them in whose crash it is a
         suspect.
+    priority : int
+        Priority of the job's queue, 0 is the highest.
     """
 
     job: str
@@ -81,6 +83,7 @@
     slack_ms: float
     crashes: int = 0
     suspected: int = 0
+    priority: int = 0
 
     @property
     def ref(self):
@@ -237,6 +240,9 @@
     labels : list of str
     clock : float
         The agent's clock at the time of the report; `PlaceTasks` sends it back.
+    cpu_by_priority : list of int
+        Thousandths of a core that running and queued tasks of each priority hold, over all entries;
+        the index is the priority. Empty in reports of agents that do not state it.
     """
 
     worker: str
@@ -253,6 +259,7 @@
     failure_share: float
     labels: list[str] = field(factory=list)
     clock: float = 0.0
+    cpu_by_priority: list[int] = field(factory=list)
 
 
 @message(140)
