Reserve capacity for higher priorities and limit each to its share

Start order alone leaves urgent jobs late: long tasks fill the workers, agents' queues hide cores that become free, and queued runs are recalled although no worker has room for them. An entry now sums what each priority holds on its workers from the agents' reports. A job of a lower priority starts only beside a reserve (average use of the higher ones plus 0.9 standard deviations) and when all its tasks have room, and is refused when it would wait too long for that. A task that precedes other work queues at the worker that is expected to release cores first. Queues of one priority are admitted and placed as before, except that a queued run is recalled only if a worker has room for it.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -8,6 +8,8 @@
 
 from attrs import define
 
+from onyxfork.direct.precedence import priority_index
+
 __all__ = [
     "MIN_RETRY_AFTER_MS",
     "MAX_SLACK_SHARE",
@@ -16,6 +18,7 @@
     "Refusal",
     "predicted_wait_s",
     "check_admission",
+    "check_precedence",
 ]
 
 MAX_SLACK_SHARE = 0.3
@@ -30,6 +33,19 @@
 """Lower bound on the delay before a caller retries; `Retry-After` is in whole seconds."""
 
 
+PRECEDING_SLACK_SHARE = 0.75
+"""Upper bound on the predicted wait of a job that precedes other work, as a share of its slack. Its
+tasks start before any that arrive later with a lower priority."""
+
+LOWEST_SLACK_SHARE = 0.15
+"""The same bound for the lowest priority under contention: later arrivals of all others start
+first."""
+
+MAX_UNTRIED_SLACK_SHARE = 0.7
+"""Share of its slack after which a job that higher priorities have kept from starting is refused:
+estimates are up to 40 % above the run time, so that 1/1.4 of the expected slack is certain."""
+
+
 @define(slots=True)
 class Refusal:
     """Why a job is not accepted, and after which delay the caller should retry."""
@@ -123,3 +139,44 @@
     excess_ms = (wait_s - allowed_s) * 1000
     reason = f"would wait {wait_s * 1000:.0f} ms of {allowed_s * 1000:.0f} ms allowed"
     return Refusal(reason, max(MIN_RETRY_AFTER_MS, excess_ms))
+
+
+def check_precedence(job, waiting, free, use, now, max_slack_share=MAX_SLACK_SHARE):
+    """Return the `Refusal` of a job while queues of several priorities compete, or None.
+
+    Parameters
+    ----------
+    job : Job
+    waiting : iterable of Task
+    free : float
+        Free thousandths of a core in whole tasks of the job's size.
+    use : PriorityUse
+    now : float
+        Monotonic seconds.
+    max_slack_share : float
+        Lower bound on the accepted wait of a job that precedes other work.
+    """
+    queue, index = job.request.queue, priority_index(job.priority)
+    if use.excess_use(job):
+        return Refusal(
+            f"queue {queue.name} is over its share: priority {job.priority} uses "
+            f"{use.held[index] / 1000:.0f} cores of {use.shares[index] / 1000:.0f}"
+        )
+    own_key = min(map(job.start_key, job.tasks))
+    need = sum(task.spec.cpu for task in job.tasks)
+    need += sum(task.spec.cpu for task in waiting if task.job.start_key(task) <= own_key)
+    reserve = use.reserve[index]
+    excess = need + reserve - free
+    if excess <= 0:
+        return None
+    wait_s = excess / max(use.release_rate(job.priority), 1.0)
+    has_lower = use.has_lower(job.priority)
+    share = max(max_slack_share, PRECEDING_SLACK_SHARE) if has_lower else LOWEST_SLACK_SHARE
+    allowed_s = share * (min(map(job.latest_start, job.tasks)) - now)
+    if wait_s <= allowed_s:
+        return None
+    reason = (
+        f"queue {queue.name} would wait {wait_s * 1000:.0f} ms of {allowed_s * 1000:.0f} ms "
+        f"allowed with {reserve / 1000:.0f} cores reserved for higher priorities"
+    )
+    return Refusal(reason, max(MIN_RETRY_AFTER_MS, (wait_s - allowed_s) * 1000))
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -255,9 +255,7 @@
                 heapq.heappop(self.queue)
                 continue
             if run.latest_start < now and key < run.latest_start + OVERDUE_PENALTY_S:
-                heapq.heapreplace(
-                    self.queue, (key + OVERDUE_PENALTY_S, next(self.sequence), run)
-                )
+                heapq.heapreplace(self.queue, (key + OVERDUE_PENALTY_S, next(self.sequence), run))
                 continue
             if self.is_session_stale(run.session, now):
                 passed_over.append(heapq.heappop(self.queue))
--- a/onyxfork/direct/configuration.py
+++ b/onyxfork/direct/configuration.py
@@ -23,7 +23,7 @@
     service : str
         The service whose workers run the tasks.
     priority : int
-        0 is the highest; not used for placement.
+        0 is the highest: when capacity is short, its jobs start first and others are refused.
     attempts : int
         Number of failed runs of a task at which the job fails.
     stretch : float
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -17,17 +17,25 @@
 from onyxfork.direct.admission import (
     MAX_SLACK_SHARE,
     MAX_SLACK_SHARE_AT_STARTUP,
+    MAX_UNTRIED_SLACK_SHARE,
     MIN_RETRY_AFTER_MS,
     Capacity,
     Refusal,
     check_admission,
+    check_precedence,
 )
 from onyxfork.direct.crashes import CrashTable
 from onyxfork.direct.dispatcher_news import RECOVERY_WINDOW_S, AgentEventMixin
 from onyxfork.direct.estimates import EstimateTable
 from onyxfork.direct.jobs import PLACED, WAITING, make_job
-from onyxfork.direct.placement import can_ever_run, choose_worker
-from onyxfork.direct.precedence import OVERDUE_PENALTY_S
+from onyxfork.direct.placement import (
+    CROWDED_JITTER_SHARE,
+    JITTER_SHARE,
+    can_ever_run,
+    choose_worker,
+)
+from onyxfork.direct.precedence import OVERDUE_PENALTY_S, PriorityUse
+from onyxfork.direct.precedence_placement import choose_worker_to_queue_at
 from onyxfork.direct.requests import REFUSED, UNKNOWN, JobOutcome
 from onyxfork.direct.subsets import ANY_LABEL
 from onyxfork.direct.workers import RunTimeBaseline
@@ -100,6 +108,8 @@
         Finished jobs whose callers have not been answered yet.
     crash_table : CrashTable
         Crashes by task as agents report them, also of jobs that other entries hold.
+    use : PriorityUse
+        Use of the known workers by priority.
     """
 
     def __init__(self, now, rng=None, zone=""):
@@ -123,6 +133,7 @@
         self.recalls = {}
         self.finished_jobs = []
         self.crash_table = CrashTable()
+        self.use = PriorityUse()
 
     # Jobs
 
@@ -148,6 +159,7 @@
         if refusal is not None:
             return refusal
         self.jobs[job.id] = job
+        self.use.record_job(job)
         for step in request.steps:
             if step.rack:
                 self.record_shortage(step, now)
@@ -178,7 +190,10 @@
             MAX_SLACK_SHARE if now >= self.startup_ends_at else MAX_SLACK_SHARE_AT_STARTUP
         )
         backlog = [*self.waiting_tasks, *queued]
-        refusal = check_admission(job, backlog, capacity, now, max_slack_share)
+        if self.use.is_contended(job.priority):
+            refusal = check_precedence(job, backlog, capacity.free, self.use, now, max_slack_share)
+        else:
+            refusal = check_admission(job, backlog, capacity, now, max_slack_share)
         if refusal is not None:
             for step in job.request.steps:
                 self.record_shortage(step, now)
@@ -262,9 +277,11 @@
             if latest_start < now and key < latest_start + OVERDUE_PENALTY_S:
                 self.push_waiting(task, key + OVERDUE_PENALTY_S)
                 continue
-            view = choose_worker(
-                task, self.workers.values(), self.run_time_baseline, self.rng, now, self.zone
-            )
+            if not self.use.may_start(task.job):
+                # What follows in the heap has no precedence over this job.
+                passed_over.append(item)
+                break
+            view = self.choose_worker(task, now)
             if view is None:
                 if now - task.job.arrived_at >= MAX_PLACEMENT_WAIT_S:
                     self.record_shortage(task.spec, now)
@@ -276,6 +293,21 @@
         for item in passed_over:
             heapq.heappush(self.waiting_heap, item)
 
+    def choose_worker(self, task, now):
+        """Return the worker that gets a task, or None.
+
+        If no worker has free capacity, it is one whose agent starts the task before other work.
+        """
+        views, use = self.workers.values(), self.use
+        jitter_share = CROWDED_JITTER_SHARE if use.is_crowded else JITTER_SHARE
+        view = choose_worker(
+            task, views, self.run_time_baseline, self.rng, now, self.zone, jitter_share
+        )
+        if view is None and use.has_lower(task.job.priority):
+            baseline = self.run_time_baseline
+            view = choose_worker_to_queue_at(task, views, use, baseline, self.rng, now)
+        return view
+
     def record_shortage(self, step, now):
         """Record that the known workers have too little free capacity for a task of `step`."""
         self.shortages[step.label or step.rack or ANY_LABEL] = now
@@ -290,6 +322,8 @@
             task.job.first_placed_at = now
         task.job.latest_worker = view.node
         view.record_order(task.spec)
+        self.use.spare -= task.spec.cpu
+        self.use.count(task, 1)
         view.tasks[task.ref.key] = task
         self.unstarted_tasks.add(task)
         self.millicores_in_use += task.spec.cpu
@@ -309,22 +343,25 @@
         if view is not None:
             view.tasks.pop(task.ref.key, None)
         self.millicores_in_use -= task.spec.cpu
+        self.use.count(task, -1)
         self.work_in_use -= task.spec.cpu * task.expected_ms
 
     def recall_queued_runs(self, now):
         """Recall runs queued at overcommitted agents while others have free capacity for them."""
-        free_millicores = sum(
-            max(0, view.cpu_free) for view in self.workers.values() if view.is_ready
-        )
+        # Remainders that the task doesn't fit aren't room for it: negated, the largest first.
+        free = [-view.cpu_free for view in self.workers.values() if view.is_ready]
+        heapq.heapify(free)
         for view in self.workers.values():
             if not view.is_ready or view.status.cpu_free >= 0:
                 continue
             for task in view.tasks.values():
-                if task.state != PLACED or task.recalled or task.spec.cpu > free_millicores:
+                if task.state != PLACED or task.recalled or task.spec.cpu > -free[0]:
+                    continue
+                if not self.use.leaves_reserve(task.job, task.spec.cpu):
                     continue
                 if now - task.placed_at >= RECALL_AFTER_S:
                     task.recalled = True
-                    free_millicores -= task.spec.cpu
+                    heapq.heapreplace(free, free[0] + task.spec.cpu)
                     self.recalls.setdefault(view.node, []).append(task.ref)
 
     # Time
@@ -338,9 +375,12 @@
             if job.outcome is None:
                 self.check_time_limits(job, now)
         self.run_time_baseline.refresh(self.workers.values())
-        if self.waiting_heap:
+        self.use.refresh(self.workers.values(), now)
+        waits = bool(self.waiting_heap)
+        if waits:
             self.place_waiting_tasks(now)
-        else:
+        # Under contention the tasks that wait may be those that leave a reserve free.
+        if not waits or self.use.is_crowded:
             self.recall_queued_runs(now)
 
     def reschedule_lost_runs(self, view, now):
@@ -368,7 +408,11 @@
         wait beyond its latest start: capacity is about to become available, and a late answer is
         better than none.
         """
-        if now <= min(map(job.latest_start, job.tasks)):
+        latest_start = min(map(job.latest_start, job.tasks))
+        if self.use.has_higher(job.priority):
+            slack_s = latest_start - job.arrived_at
+            latest_start = job.arrived_at + MAX_UNTRIED_SLACK_SHARE * slack_s
+        if now <= latest_start:
             return False
         ready_count = sum(view.is_ready for view in self.workers.values())
         return (
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -62,7 +62,11 @@
 
     def on_status(self, node, status, now):
         """Update a worker from its agent's report."""
-        self.workers[node].update_status(status)
+        view = self.workers[node]
+        spare_before = self.use.spare_of(view)
+        view.update_status(status)
+        view.reported_at = now
+        self.use.spare += self.use.spare_of(view) - spare_before
         if self.waiting_heap:
             self.place_waiting_tasks(now)
 
--- a/onyxfork/direct/jobs.py
+++ b/onyxfork/direct/jobs.py
@@ -160,6 +160,11 @@
         """Return the key by which `task` is ordered among waiting tasks."""
         return start_key(self.latest_start(task), self.priority)
 
+    @property
+    def waiting_millicores(self):
+        """Thousandths of a core that the tasks that wait for free capacity need."""
+        return sum(task.spec.cpu for task in self.tasks if task.state == WAITING)
+
     def answer_expiry(self, factor):
         """Return the time `factor` latency objectives after the arrival (monotonic seconds)."""
         return self.arrived_at + factor * (self.due_at - self.arrived_at)
--- a/onyxfork/direct/placement.py
+++ b/onyxfork/direct/placement.py
@@ -4,7 +4,7 @@
 penalties. The weights and penalties below are in the same unit.
 """
 
-__all__ = ["choose_worker", "can_ever_run", "FAULTY_FAILURE_SHARE"]
+__all__ = ["choose_worker", "can_ever_run", "CROWDED_JITTER_SHARE", "FAULTY_FAILURE_SHARE"]
 
 RUN_TIME_WEIGHT = 0.5
 """Weight of a worker's relative run time. It is below 1 because latency objectives allow for
@@ -23,6 +23,10 @@
 """Upper bound on the random part of the cost, so that entries with the same reports choose
 different workers."""
 
+CROWDED_JITTER_SHARE = 1.0
+"""The same bound while few workers have free capacity: the cost of utilisation would make all
+entries choose the same ones."""
+
 REMOTE_RACK_FACTOR = 1.5
 """Run time outside the rack that holds a task's data, as a multiple of the run time inside it."""
 
@@ -60,7 +64,7 @@
     return any(view.status.service == service and view.fits_when_empty(step) for view in reported)
 
 
-def placement_cost(task, view, baseline, rng, now, zone):
+def placement_cost(task, view, baseline, rng, now, zone, jitter_share):
     """Return the cost of a task on a worker: its expected relative run time plus penalties."""
     step, status = task.spec, view.status
     total = RUN_TIME_WEIGHT * baseline.relative_run_time(view)
@@ -83,10 +87,10 @@
         total += FAILURE_PENALTY
     if task.suspected and has_other_suspect(task, view):
         total += FAILURE_PENALTY
-    return total + JITTER_SHARE * rng.random()
+    return total + jitter_share * rng.random()
 
 
-def choose_worker(task, views, baseline, rng, now, zone=""):
+def choose_worker(task, views, baseline, rng, now, zone="", jitter_share=JITTER_SHARE):
     """Return the acceptable worker with free capacity and the lowest cost for a task, or None.
 
     Parameters
@@ -99,6 +103,8 @@
         Monotonic seconds.
     zone : str
         Availability zone whose workers are preferred; empty for none.
+    jitter_share : float
+        Upper bound on the random part of the cost.
 
     Returns
     -------
@@ -113,7 +119,7 @@
             continue
         if step.max_per_worker and count_step_tasks(task, view) >= step.max_per_worker:
             continue
-        candidate_cost = placement_cost(task, view, baseline, rng, now, zone)
+        candidate_cost = placement_cost(task, view, baseline, rng, now, zone, jitter_share)
         if candidate_cost < best_cost:
             best, best_cost = view, candidate_cost
     return best
--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -1,13 +1,20 @@
 """Precedence of queues by the operator's priority when capacity is short.
 
 Waiting tasks start by priority and then by latest start. The priority counts as a delay of the
-latest start, so that waiting work gains precedence as it ages.
+latest start, so that waiting work gains precedence as it ages. What each priority holds on the
+known workers, over all entries, is known from their agents' reports; it decides how many cores a
+job of a lower priority leaves free (trunk reservation) and which share each priority may use.
 """
 
+import math
+
+from attrs import define, field
+
 __all__ = [
     "MAX_PRIORITIES",
     "OVERDUE_PENALTY_S",
-    "PRECEDENCE_OFFSET_S",
+    "PriorityUse",
+    "allocate",
     "priority_index",
     "start_key",
 ]
@@ -16,12 +23,40 @@
 """Priorities that are told apart; lower ones count as the last."""
 
 PRECEDENCE_OFFSET_S = 5.0
-"""Added to the latest start per priority. It is longer than the slack of a job of 7 s, so that work
-of a higher priority starts first unless work of a lower one has become overdue for long."""
+"""Added to the latest start per priority: longer than the slack of a job whose tasks run for 7 s,
+so that work of a higher priority starts first."""
 
 OVERDUE_PENALTY_S = 60.0
 """Added to the key of a task that is late, so that it sorts after all tasks that can still be on
-time: longer than any slack and the offset of all priorities."""
+time: longer than any slack and the offsets of all priorities."""
+
+MAX_REPORT_AGE_S = 0.5
+"""From older reports only this entry's own runs count."""
+
+AVERAGING_TIME_S = 0.25
+"""Time constant of the average use by priority. With 1 s the reserve follows the slow waves of the
+demand too, and its cores stay idle in the next trough."""
+
+RESERVE_DEVIATIONS = 0.9
+"""The reserve covers the average use of the higher priorities plus this many standard deviations.
+More keeps cores idle, fewer make the highest priority wait."""
+
+SCARCE_SHARE = 0.03
+"""Capacity is scarce while a smaller share of it is free; a limit by share wastes no more."""
+
+CROWDED_SHARE = 0.1
+"""While a smaller share of the capacity is free, entries that choose by the same reports often
+choose the same workers."""
+
+RELEASED_BY_OTHERS_SHARE = 0.5
+"""Part of the lower-priority cores of other entries that a job may count on when they are
+released; other entries' jobs of its priority take the rest."""
+
+MIN_USE = 1.0
+"""Thousandths of a core below which a priority counts as unused."""
+
+UNKNOWN_RUN_MS = 100.0
+"""Assumed run time of priorities until this entry has had a run."""
 
 
 def priority_index(priority):
@@ -40,3 +75,248 @@
         Priority of the queue, 0 is the highest.
     """
     return latest_start + priority_index(priority) * PRECEDENCE_OFFSET_S
+
+
+def guaranteed_shares(demands):
+    """Return the guaranteed share of each priority with demand; each next one has half as much."""
+    weights = [0.5**index if demand > 0 else 0.0 for index, demand in enumerate(demands)]
+    total = sum(weights) or 1.0
+    return [weight / total for weight in weights]
+
+
+def allocate(demands, capacity):
+    """Return the cores that each priority may use.
+
+    Each priority is guaranteed the lower of its demand and its guaranteed share; the rest goes to
+    the unsatisfied ones in the order of their priority.
+
+    Parameters
+    ----------
+    demands : list of float
+        Cores by priority, in the unit of `capacity`.
+    capacity : float
+
+    Returns
+    -------
+    list of float
+    """
+    shares = guaranteed_shares(demands)
+    allocated = [
+        min(demand, share * capacity) for demand, share in zip(demands, shares, strict=True)
+    ]
+    rest = capacity - sum(allocated)
+    for index, demand in enumerate(demands):
+        extra = min(demand - allocated[index], rest)
+        allocated[index] += extra
+        rest -= extra
+    return allocated
+
+
+def zeros():
+    return [0.0] * MAX_PRIORITIES
+
+
+@define(eq=False, slots=True)
+class PriorityUse:
+    """Use of an entry's known workers by priority, in thousandths of a core.
+
+    Parameters
+    ----------
+    unit : float
+        Average size of a task; free capacity counts in whole tasks of this size.
+    spare, capacity : float
+        Free capacity and capacity of the ready workers.
+    held : list of float
+        Held by running and queued tasks of each priority, over all entries.
+    average : list of float
+        Moving average of `held`.
+    higher_average, higher_variance : list of float
+        Moving average and variance of what all higher priorities hold.
+    own, own_work : list of float
+        Held by this entry's tasks, and the same times their expected run time in milliseconds.
+    run_ms : list of float
+        Average run time of the tasks of each priority; 0 if this entry has had none.
+    reserve : list of float
+        Cores that a job of each priority leaves free for higher ones.
+    shares : list of float
+        Cores that each priority may hold while capacity is scarce.
+    refreshed_at : float or None
+        Monotonic seconds of the latest refresh.
+    """
+
+    unit: float = 1000.0
+    spare: float = 0.0
+    capacity: float = 0.0
+    held: list = field(factory=zeros)
+    average: list = field(factory=zeros)
+    higher_average: list = field(factory=zeros)
+    higher_variance: list = field(factory=zeros)
+    own: list = field(factory=zeros)
+    own_work: list = field(factory=zeros)
+    run_ms: list = field(factory=zeros)
+    reserve: list = field(factory=zeros)
+    shares: list = field(factory=zeros)
+    refreshed_at: float | None = None
+
+    # Updates
+
+    def refresh(self, views, now):
+        """Recompute the sums over the known workers and what follows from them."""
+        self.held, self.spare, self.capacity = zeros(), 0.0, 0.0
+        for view in views:
+            if view.is_ready:
+                self.capacity += view.status.cpu
+                self.spare += self.spare_of(view)
+                self.add_held(view, now)
+        weight = 1.0
+        if self.refreshed_at is not None:
+            weight = 1 - math.exp((self.refreshed_at - now) / AVERAGING_TIME_S)
+        self.refreshed_at = now
+        self.update_averages(weight)
+        self.update_limits()
+
+    def add_held(self, view, now):
+        """Add what each priority holds on a worker."""
+        reported = view.status.cpu_by_priority
+        if reported and now - view.reported_at <= MAX_REPORT_AGE_S:
+            for index, cpu in enumerate(reported[:MAX_PRIORITIES]):
+                self.held[index] += cpu
+            return
+        for task in view.tasks.values():
+            self.held[priority_index(task.job.priority)] += task.spec.cpu
+
+    def update_averages(self, weight):
+        """Move the averages towards the present use by `weight`."""
+        higher = 0.0
+        for index, held in enumerate(self.held):
+            self.average[index] += weight * (held - self.average[index])
+            difference = higher - self.higher_average[index]
+            self.higher_average[index] += weight * difference
+            variance = self.higher_variance[index] + weight * difference * difference
+            self.higher_variance[index] = (1 - weight) * variance
+            higher += held
+
+    def update_limits(self):
+        """Recompute the reserves and the shares."""
+        seen = [average >= MIN_USE for average in self.average]
+        guaranteed = guaranteed_shares(seen)
+        higher = 0.0
+        for index, held in enumerate(self.held):
+            expected = self.higher_average[index]
+            expected += RESERVE_DEVIATIONS * math.sqrt(self.higher_variance[index])
+            has_guarantee = held < guaranteed[index] * self.capacity
+            self.reserve[index] = 0.0 if has_guarantee else max(0.0, expected - higher)
+            higher += held
+            if seen[index]:
+                # The demand of lower priorities that are refused elsewhere isn't known here; they
+                # count with what they are guaranteed.
+                lower = [share * self.capacity for share in guaranteed[index + 1 :]]
+                demands = [*self.average[:index], self.capacity, *lower]
+                self.shares[index] = allocate(demands, self.capacity)[index]
+
+    def count(self, task, sign):
+        """Add a task that is placed to this entry's use, or subtract it with a sign of -1."""
+        index, cpu = priority_index(task.job.priority), task.spec.cpu
+        self.own[index] += sign * cpu
+        self.own_work[index] += sign * cpu * task.expected_ms
+        if self.own[index]:
+            self.run_ms[index] = self.own_work[index] / self.own[index]
+
+    def record_job(self, job):
+        """Update the average size of a task."""
+        self.unit += 0.1 * (sum(task.spec.cpu for task in job.tasks) / len(job.tasks) - self.unit)
+
+    def spare_of(self, view):
+        """Return the free capacity of a worker in whole tasks of the average size."""
+        if not view.is_ready or self.unit <= 0:
+            return 0.0
+        return max(0, view.cpu_free) // self.unit * self.unit
+
+    # Decisions
+
+    def is_contended(self, priority):
+        """Return whether work of another priority uses the known workers."""
+        own = priority_index(priority)
+        return any(average >= MIN_USE for index, average in enumerate(self.average) if index != own)
+
+    def has_higher(self, priority):
+        """Return whether work of a higher priority uses the known workers."""
+        index = priority_index(priority)
+        return any(average >= MIN_USE for average in self.average[:index])
+
+    def has_lower(self, priority):
+        """Return whether work of a lower priority uses the known workers."""
+        index = priority_index(priority)
+        return any(average >= MIN_USE for average in self.average[index + 1 :])
+
+    @property
+    def is_crowded(self):
+        """Whether little capacity is free and work of several priorities competes for it."""
+        used = sum(average >= MIN_USE for average in self.average)
+        return used > 1 and self.spare < CROWDED_SHARE * self.capacity
+
+    def leaves_reserve(self, job, millicores):
+        """Return whether tasks of a job may take `millicores` of the free capacity."""
+        if not self.has_higher(job.priority):
+            return True
+        return self.spare - millicores >= self.reserve[priority_index(job.priority)]
+
+    def may_start(self, job):
+        """Return whether waiting tasks of a job may start.
+
+        A job of a lower priority starts only if there is room for all its tasks beside the reserve:
+        a job that has started in part and ends late wastes what it uses.
+        """
+        if job.first_placed_at is not None or not self.has_higher(job.priority):
+            return True
+        return self.leaves_reserve(job, job.waiting_millicores)
+
+    def excess_use(self, job):
+        """Return by how much a job would exceed its priority's share; 0 if capacity isn't scarce.
+
+        Returns
+        -------
+        float
+            Thousandths of a core.
+        """
+        if not self.is_contended(job.priority) or self.spare >= SCARCE_SHARE * self.capacity:
+            return 0.0
+        index = priority_index(job.priority)
+        return max(0.0, self.held[index] + job.waiting_millicores - self.shares[index])
+
+    def run_ms_of(self, index):
+        """Return the expected run time of tasks of a priority."""
+        if self.run_ms[index]:
+            return max(1.0, self.run_ms[index])
+        known = [run_ms for run_ms in self.run_ms if run_ms]
+        return max(1.0, sum(known) / len(known)) if known else UNKNOWN_RUN_MS
+
+    def release_rate(self, priority):
+        """Return the rate at which cores become free that a priority may take.
+
+        These are the cores of this entry's runs of the same and lower priorities, and a part of
+        those of other entries' runs of lower ones.
+
+        Returns
+        -------
+        float
+            Thousandths of a core per second.
+        """
+        first = priority_index(priority)
+        rate = 0.0
+        for index in range(first, MAX_PRIORITIES):
+            cores = self.own[index]
+            if index > first:
+                others = max(0.0, self.held[index] - self.own[index])
+                cores += RELEASED_BY_OTHERS_SHARE * others
+            if cores:
+                rate += 1000 * cores / self.run_ms_of(index)
+        return rate
+
+    def expected_queue_ms(self, millicores, view):
+        """Return the expected time until `millicores` become free on a worker."""
+        rate = sum(
+            cpu / self.run_ms_of(index)
+            for index, cpu in enumerate(view.status.cpu_by_priority[:MAX_PRIORITIES])
+        )
+        return millicores / rate if rate > 0 else math.inf
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -36,6 +36,8 @@
         Tasks whose latest run the agent holds, by task key.
     runs_lost_at : float
         While disconnected, monotonic seconds from which these runs count as lost.
+    reported_at : float
+        Monotonic seconds at which the latest report was received.
     """
 
     node: str
@@ -50,6 +52,7 @@
     avoid_until: float = 0.0
     tasks: dict = field(factory=dict)
     runs_lost_at: float = 0.0
+    reported_at: float = 0.0
 
     @property
     def is_ready(self):
