Guarantee each priority a share, and limit none below 0.9 of capacity

A low-priority queue that holds nothing was invisible to entries that carry urgent work only, and starved. Work below its guaranteed share (weights 1, 1/2, 1/4 by priority) may queue at agents, where the others see it. The reserve grows with the demand from 0.9 to 1.0 of capacity. Its variance is averaged over 1 s, its mean over 0.25 s.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -169,9 +169,12 @@
     excess = need + reserve - free
     if excess <= 0:
         return None
-    wait_s = excess / max(use.release_rate(job.priority), 1.0)
-    has_lower = use.has_lower(job.priority)
-    share = max(max_slack_share, PRECEDING_SLACK_SHARE) if has_lower else LOWEST_SLACK_SHARE
+    precedes = use.has_lower(job.priority)
+    rate = use.release_rate(job.priority)
+    if use.has_guarantee(job):
+        precedes, rate = True, use.release_rate(0)
+    wait_s = excess / max(rate, 1.0)
+    share = max(max_slack_share, PRECEDING_SLACK_SHARE) if precedes else LOWEST_SLACK_SHARE
     allowed_s = share * (min(map(job.latest_start, job.tasks)) - now)
     if wait_s <= allowed_s:
         return None
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -155,11 +155,12 @@
         job = make_job(request, now, self.estimates)
         if self.crash_table.apply_to(job) and self.fail_if_exhausted(job):
             return job
+        self.use.record_offered(job)
         refusal = self.find_refusal(job, now)
         if refusal is not None:
             return refusal
         self.jobs[job.id] = job
-        self.use.record_job(job)
+        self.use.record_accepted(job)
         for step in request.steps:
             if step.rack:
                 self.record_shortage(step, now)
@@ -247,6 +248,7 @@
         if job.may_have_started or job.has_runs_at_agents:
             self.finish_job(job, JobOutcome(UNKNOWN, reason))
         else:
+            self.use.record_accepted(job, -1)
             self.finish_job(job, JobOutcome(REFUSED, reason, MIN_RETRY_AFTER_MS))
 
     # Placement
@@ -303,7 +305,8 @@
         view = choose_worker(
             task, views, self.run_time_baseline, self.rng, now, self.zone, jitter_share
         )
-        if view is None and use.has_lower(task.job.priority):
+        precedes = use.has_lower(task.job.priority) or use.has_guarantee(task.job)
+        if view is None and precedes:
             baseline = self.run_time_baseline
             view = choose_worker_to_queue_at(task, views, use, baseline, self.rng, now)
         return view
--- a/onyxfork/direct/jobs.py
+++ b/onyxfork/direct/jobs.py
@@ -165,6 +165,11 @@
         """Thousandths of a core that the tasks that wait for free capacity need."""
         return sum(task.spec.cpu for task in self.tasks if task.state == WAITING)
 
+    @property
+    def work(self):
+        """Expected work of all tasks, in thousandths of a core times milliseconds."""
+        return sum(task.spec.cpu * task.expected_ms for task in self.tasks)
+
     def answer_expiry(self, factor):
         """Return the time `factor` latency objectives after the arrival (monotonic seconds)."""
         return self.arrived_at + factor * (self.due_at - self.arrived_at)
--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -37,6 +37,10 @@
 """Time constant of the average use by priority. With 1 s the reserve follows the slow waves of the
 demand too, and its cores stay idle in the next trough."""
 
+VARIANCE_TIME_RATIO = 4.0
+"""The variance is averaged over this many times `AVERAGING_TIME_S`: a job's slack and more, so that
+the reserve lasts between two peaks."""
+
 RESERVE_DEVIATIONS = 0.9
 """The reserve covers the average use of the higher priorities plus this many standard deviations.
 More keeps cores idle, fewer make the highest priority wait."""
@@ -52,6 +56,15 @@
 """Part of the lower-priority cores of other entries that a job may count on when they are
 released; other entries' jobs of its priority take the rest."""
 
+LIMITED_LOAD = 0.9
+"""No priority is limited while the total demand is below this share of the capacity; up to
+`FULL_LOAD` the reserve grows to its full size."""
+
+FULL_LOAD = 1.0
+
+DEMAND_TIME_S = 1.0
+"""Time constant of the averages of offered and accepted work."""
+
 MIN_USE = 1.0
 """Thousandths of a core below which a priority counts as unused."""
 
@@ -138,8 +151,12 @@
         Average run time of the tasks of each priority; 0 if this entry has had none.
     reserve : list of float
         Cores that a job of each priority leaves free for higher ones.
+    guaranteed : list of float
+        Cores that are guaranteed to each priority.
     shares : list of float
         Cores that each priority may hold while capacity is scarce.
+    offered, accepted : list of float
+        Work of this entry's jobs, with and without refused ones, decaying by `DEMAND_TIME_S`.
     refreshed_at : float or None
         Monotonic seconds of the latest refresh.
     """
@@ -155,7 +172,10 @@
     own_work: list = field(factory=zeros)
     run_ms: list = field(factory=zeros)
     reserve: list = field(factory=zeros)
+    guaranteed: list = field(factory=zeros)
     shares: list = field(factory=zeros)
+    offered: list = field(factory=zeros)
+    accepted: list = field(factory=zeros)
     refreshed_at: float | None = None
 
     # Updates
@@ -171,6 +191,9 @@
         weight = 1.0
         if self.refreshed_at is not None:
             weight = 1 - math.exp((self.refreshed_at - now) / AVERAGING_TIME_S)
+            decay = math.exp((self.refreshed_at - now) / DEMAND_TIME_S)
+            self.offered = [work * decay for work in self.offered]
+            self.accepted = [work * decay for work in self.accepted]
         self.refreshed_at = now
         self.update_averages(weight)
         self.update_limits()
@@ -187,30 +210,36 @@
 
     def update_averages(self, weight):
         """Move the averages towards the present use by `weight`."""
+        variance_weight = weight / VARIANCE_TIME_RATIO
         higher = 0.0
         for index, held in enumerate(self.held):
             self.average[index] += weight * (held - self.average[index])
             difference = higher - self.higher_average[index]
             self.higher_average[index] += weight * difference
-            variance = self.higher_variance[index] + weight * difference * difference
-            self.higher_variance[index] = (1 - weight) * variance
+            variance = self.higher_variance[index] + variance_weight * difference * difference
+            self.higher_variance[index] = (1 - variance_weight) * variance
             higher += held
 
     def update_limits(self):
         """Recompute the reserves and the shares."""
-        seen = [average >= MIN_USE for average in self.average]
-        guaranteed = guaranteed_shares(seen)
+        seen = [
+            average >= MIN_USE or offered >= MIN_USE
+            for average, offered in zip(self.average, self.offered, strict=True)
+        ]
+        scale = (self.demand / max(1.0, self.capacity) - LIMITED_LOAD) / (FULL_LOAD - LIMITED_LOAD)
+        scale = min(1.0, max(0.0, scale))
+        self.guaranteed = [share * self.capacity for share in guaranteed_shares(seen)]
         higher = 0.0
         for index, held in enumerate(self.held):
             expected = self.higher_average[index]
             expected += RESERVE_DEVIATIONS * math.sqrt(self.higher_variance[index])
-            has_guarantee = held < guaranteed[index] * self.capacity
-            self.reserve[index] = 0.0 if has_guarantee else max(0.0, expected - higher)
+            has_guarantee = held < self.guaranteed[index]
+            self.reserve[index] = 0.0 if has_guarantee else scale * max(0.0, expected - higher)
             higher += held
             if seen[index]:
                 # The demand of lower priorities that are refused elsewhere isn't known here; they
                 # count with what they are guaranteed.
-                lower = [share * self.capacity for share in guaranteed[index + 1 :]]
+                lower = self.guaranteed[index + 1 :]
                 demands = [*self.average[:index], self.capacity, *lower]
                 self.shares[index] = allocate(demands, self.capacity)[index]
 
@@ -219,13 +248,32 @@
         index, cpu = priority_index(task.job.priority), task.spec.cpu
         self.own[index] += sign * cpu
         self.own_work[index] += sign * cpu * task.expected_ms
+        self.held[index] += sign * cpu
         if self.own[index]:
             self.run_ms[index] = self.own_work[index] / self.own[index]
 
-    def record_job(self, job):
-        """Update the average size of a task."""
+    def record_offered(self, job):
+        """Count the work of a job that has arrived, and update the average size of a task."""
+        self.offered[priority_index(job.priority)] += job.work
         self.unit += 0.1 * (sum(task.spec.cpu for task in job.tasks) / len(job.tasks) - self.unit)
 
+    def record_accepted(self, job, sign=1):
+        """Count the work of an accepted job, or discount it with a sign of -1."""
+        self.accepted[priority_index(job.priority)] += sign * job.work
+
+    @property
+    def demand(self):
+        """Cores that would be held if nothing were refused, in thousandths.
+
+        Other entries are assumed to refuse as large a part of each priority as this one.
+        """
+        return sum(
+            average * max(1.0, offered / accepted) if accepted > 0 else average
+            for average, offered, accepted in zip(
+                self.average, self.offered, self.accepted, strict=True
+            )
+        )
+
     def spare_of(self, view):
         """Return the free capacity of a worker in whole tasks of the average size."""
         if not view.is_ready or self.unit <= 0:
@@ -261,6 +309,12 @@
             return True
         return self.spare - millicores >= self.reserve[priority_index(job.priority)]
 
+    def has_guarantee(self, job):
+        """Return whether a job of a lower priority keeps to its guaranteed share."""
+        index = priority_index(job.priority)
+        held = self.held[index] + job.waiting_millicores
+        return self.has_higher(job.priority) and held <= self.guaranteed[index]
+
     def may_start(self, job):
         """Return whether waiting tasks of a job may start.
 
@@ -269,7 +323,7 @@
         """
         if job.first_placed_at is not None or not self.has_higher(job.priority):
             return True
-        return self.leaves_reserve(job, job.waiting_millicores)
+        return self.has_guarantee(job) or self.leaves_reserve(job, job.waiting_millicores)
 
     def excess_use(self, job):
         """Return by how much a job would exceed its priority's share; 0 if capacity isn't scarce.
