--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -45,9 +45,13 @@
 """The reserve covers the average use of the higher priorities plus this many standard deviations.
 More keeps cores idle, fewer make the highest priority wait."""
 
-SCARCE_SHARE = 0.03
+SCARCE_SHARE = 0.08
 """Capacity is scarce while a smaller share of it is free; a limit by share wastes no more."""
 
+USABLE_SHARE = 0.94
+"""Share of the capacity that is allocated; the rest is remainders that no task fits. With 1.0 a
+flood of low-priority jobs takes these cores from higher priorities, with 0.9 cores stay idle."""
+
 CROWDED_SHARE = 0.1
 """While a smaller share of the capacity is free, entries that choose by the same reports often
 choose the same workers."""
@@ -241,7 +245,7 @@
                 # count with what they are guaranteed.
                 lower = self.guaranteed[index + 1 :]
                 demands = [*self.average[:index], self.capacity, *lower]
-                self.shares[index] = allocate(demands, self.capacity)[index]
+                self.shares[index] = allocate(demands, USABLE_SHARE * self.capacity)[index]
 
     def count(self, task, sign):
         """Add a task that is placed to this entry's use, or subtract it with a sign of -1."""
--- /dev/null
+++ b/tests/direct/test_precedence.py
@@ -0,0 +1,99 @@
+"""Shares, reserves and the start order by priority."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+import pytest  # noqa: E402
+from attrs import evolve  # noqa: E402
+from builders import (  # noqa: E402
+    QUEUE,
+    make_dispatcher,
+    make_order,
+    make_request,
+    make_status,
+    make_worker,
+    take_orders,
+)
+
+from onyxfork.direct.admission import Refusal  # noqa: E402
+from onyxfork.direct.arbiter import Arbiter  # noqa: E402
+from onyxfork.direct.precedence import allocate, priority_index, start_key  # noqa: E402
+
+LOW = evolve(QUEUE, name="low", prefix="/l/", priority=2)
+
+
+def test_all_demands_are_met_while_they_fit():
+    assert allocate([30.0, 40.0, 20.0], 100.0) == [30.0, 40.0, 20.0]
+
+
+def test_rest_beyond_guarantees_goes_to_the_highest_priority():
+    """Two priorities are guaranteed 2/3 and 1/3; what the first doesn't need goes to the second."""
+    assert allocate([200.0, 50.0], 90.0) == pytest.approx([60.0, 30.0])
+    assert allocate([20.0, 200.0], 90.0) == pytest.approx([20.0, 70.0])
+
+
+def test_priorities_out_of_range_count_as_the_last():
+    assert [priority_index(value) for value in (-1, 0, 7, 40)] == [0, 0, 7, 7]
+    assert start_key(1.0, 40) == start_key(1.0, 7)
+
+
+def test_entry_places_the_higher_priority_first_although_it_has_more_slack():
+    dispatcher = make_dispatcher(cpu_free=0)
+    low = make_request("00000000000000b1", tasks=1, ms=100.0, queue=LOW)
+    dispatcher.submit(low, 0.0)
+    dispatcher.submit(make_request("00000000000000b2", tasks=1, ms=900.0), 0.0)
+    dispatcher.on_status("s1", make_status(cpu_free=1000), 0.01)
+    (order,) = take_orders(dispatcher)["s1"]
+    assert (order.job[-2:], order.priority) == ("b2", 0)
+
+
+def test_agent_starts_the_higher_priority_first_and_reports_use_by_priority():
+    arbiter = Arbiter()
+    arbiter.apply_worker_report(make_worker(cpu=1000), 0.0)
+    arbiter.on_renewal_answered(0.0)
+    session = arbiter.connect("e1", "i1", object())
+    low, high = make_order("00000000000000b1"), make_order("00000000000000b2", slack_ms=900.0)
+    low.priority = 2
+    arbiter.place(session, [low, high], 0.0)
+    arbiter.schedule(0.0)
+    assert [run.order.job[-2:] for run in arbiter.starts] == ["b2"]
+    assert arbiter.status(session, 0.0).cpu_by_priority == [1000, 0, 1000]
+
+
+def contended_dispatcher(held, reported_at=1.0):
+    """Four workers of four cores, of which one is free; `held` is reported by each."""
+    dispatcher = make_dispatcher([f"s{number}" for number in range(4)], cpu_free=0)
+    for node in dispatcher.workers:
+        status = make_status(cpu_free=1000 if node == "s0" else 0)
+        status.cpu_by_priority = held
+        dispatcher.on_status(node, status, reported_at)
+    dispatcher.use.refresh(dispatcher.workers.values(), 1.0)
+    return dispatcher
+
+
+def test_low_priority_beyond_its_guarantee_is_refused_with_the_reason():
+    """Another entry has filled most of the cores with low-priority work; none is free."""
+    dispatcher = contended_dispatcher([1000, 0, 3000])
+    dispatcher.use.spare = 0.0
+    refusal = dispatcher.submit(make_request(tasks=2, queue=LOW), 5.0)
+    assert isinstance(refusal, Refusal)
+    assert "queue low" in refusal.reason and "share" in refusal.reason
+
+
+def test_high_priority_is_accepted_at_a_worker_that_runs_lower_priorities():
+    """No core is free, but low-priority runs end soon enough at agents that start it first."""
+    dispatcher = contended_dispatcher([1000, 0, 3000])
+    dispatcher.submit(make_request(tasks=3, ms=200.0), 1.0)
+    assert sum(map(len, take_orders(dispatcher).values())) == 3
+
+
+def test_report_older_than_half_a_second_counts_only_own_runs():
+    dispatcher = contended_dispatcher([1000, 0, 3000], reported_at=0.4)
+    assert not dispatcher.use.is_contended(0)
+
+
+def test_queues_of_one_priority_are_not_contended():
+    dispatcher = contended_dispatcher([4000])
+    assert not dispatcher.use.is_contended(0) and dispatcher.use.is_contended(2)
+    assert dispatcher.use.leaves_reserve(dispatcher.submit(make_request(tasks=1), 1.0), 1000)
