--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -68,6 +68,8 @@
     crashes, suspected : int
         Workers that have crashed while they ran the task, and those of them in whose crash it is a
         suspect.
+    priority : int
+        Priority of the job's queue, 0 is the highest.
     """
 
     job: str
@@ -82,6 +84,7 @@
     slack_ms: float
     crashes: int = 0
     suspected: int = 0
+    priority: int = 0
 
     @property
     def ref(self):
@@ -241,6 +244,9 @@
         The agent's clock at the time of the report; `PlaceTasks` sends it back.
     cold_left_ms : float
         For a worker in a restored zone, how long it remains slow because it is cold.
+    cpu_by_priority : list of int
+        Thousandths of a core that running and queued tasks of each priority hold, over all entries;
+        the index is the priority. Empty in reports of agents that do not state it.
     """
 
     worker: str
@@ -258,6 +264,7 @@
     labels: list[str] = field(factory=list)
     clock: float = 0.0
     cold_left_ms: float = 0.0
+    cpu_by_priority: list[int] = field(factory=list)
 
 
 @message(140)
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -48,6 +48,8 @@
         completed for this entry; None before the first.
     cold_ratio_at : float
         Monotonic seconds of the latest of these runs.
+    reported_at : float
+        Monotonic seconds at which the latest report was received.
     """
 
     node: str
@@ -65,6 +67,7 @@
     evacuated: bool = False
     cold_run_time_ratio: float | None = None
     cold_ratio_at: float = 0.0
+    reported_at: float = 0.0
 
     @property
     def is_ready(self):
