Usual speed of a worker, learnt by its agent; slow workers are not degraded ones

Cause: entries compared a worker's recent run time ratio with the median of all workers. One of speed 0.55 beside 1.2 is at 2.2 times the median, so it got one task at a time for good. A worker that fell to half or a third of its speed was found late or not at all.

Change: agents average the run time ratio of a worker's lifetime and report it (usual_run_time_ratio). A worker is degraded from 1.8 times its usual ratio, corrected by the median change of all workers, or from 3 times the median. The recent average weighs a run with 0.2 instead of 0.1 and includes the projected times of running runs. Estimates of a queue's run time are divided by the worker's usual ratio, so they don't depend on where its tasks ran. Placement uses the usual ratio unless the recent one is clearly higher.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -20,9 +20,11 @@
     SLOW_FACTOR,
     find_runs_to_restart,
     find_stalled,
+    include_projections,
     median_run_time_ratio,
 )
 from onyxfork.direct.runs import QUEUED, READY, RUNNING, STARTING, STOPPING, TOO_LARGE
+from onyxfork.direct.worker_speed import UsualSpeed
 
 __all__ = ["Arbiter"]
 
@@ -39,8 +41,10 @@
 """Added to the latest start of a run that is overdue, so that it does not delay runs that can still
 start in time."""
 
-RUN_TIME_EMA_WEIGHT = 0.1
-"""Weight of the latest run in the moving average of run times over their estimates."""
+RUN_TIME_EMA_WEIGHT = 0.2
+"""Weight of the latest run in the moving average of run times over their estimates. With it about
+ten runs show that a worker has fallen to half its speed; a busy worker ends them in half a
+second."""
 
 FAILURE_EMA_WEIGHT = 0.25
 """Weight of the latest run in the moving average of failures. With it three failures in a row bring
@@ -115,8 +119,12 @@
         refused a run for lack of capacity since.
     log_run_time_ratio : float
         Moving average of the logarithm of run times over their estimates.
+    usual_speed : UsualSpeed
+        Average of run times over their estimates in this lifetime of the worker.
     failure_share : float
         Moving average of the share of failed runs.
+    projected_log_ratio : float
+        The same average, with the projected run times of the runs that run.
     current_run_time_ratio : float or None
         Median of the projected run times of running runs over their estimates.
     suspension_detected_at : float
@@ -148,7 +156,8 @@
         self.cpu_limit = 0
         self.cpu_used = self.memory_used = self.gpu_used = 0
         self.cpu_queued = self.memory_queued = self.gpu_queued = 0
-        self.log_run_time_ratio = 0.0
+        self.log_run_time_ratio = self.projected_log_ratio = 0.0
+        self.usual_speed = UsualSpeed()
         self.failure_share = 0.0
         self.current_run_time_ratio = None
         self.last_tick_at = None
@@ -211,7 +220,8 @@
             kind = "returned" if run.state == QUEUED else "lost"
             self.finish(run, kind, now, reason)
         self.failure_share = 0.0
-        self.log_run_time_ratio = 0.0
+        self.log_run_time_ratio = self.projected_log_ratio = 0.0
+        self.usual_speed = UsualSpeed()
         self.unhealthy_until = 0.0
         self.last_answer_at, self.silence = now, None
 
@@ -391,9 +401,10 @@
         self.failure_share += FAILURE_EMA_WEIGHT * ((1.0 if failed else 0.0) - self.failure_share)
 
     def record_run_time(self, run_ms, expected_ms):
-        """Update the moving average of the logarithm of run times over their estimates."""
+        """Update the recent and the usual average of run times over their estimates."""
         ratio = max(run_ms, MIN_EXPECTED_MS) / max(expected_ms, MIN_EXPECTED_MS)
         self.log_run_time_ratio += RUN_TIME_EMA_WEIGHT * (math.log(ratio) - self.log_run_time_ratio)
+        self.usual_speed.record(ratio, math.exp(self.log_run_time_ratio))
 
     # Time
 
@@ -406,7 +417,7 @@
         if self.last_tick_at is not None:
             decay = math.exp((self.last_tick_at - now) / DECAY_TIME_CONSTANT_S)
             self.failure_share *= decay
-            if self.log_run_time_ratio > math.log(SLOW_FACTOR):
+            if self.log_run_time_ratio > math.log(self.slow_ratio):
                 self.log_run_time_ratio *= decay
         self.last_tick_at = now
         self.stop_slow_runs(now)
@@ -426,22 +437,32 @@
             self.changed = True
             self.stop(run, "stalled", now)
         self.current_run_time_ratio = median_run_time_ratio(runs)
-        for run in find_runs_to_restart(runs, self.current_run_time_ratio):
+        self.projected_log_ratio = include_projections(
+            self.log_run_time_ratio, RUN_TIME_EMA_WEIGHT, runs
+        )
+        for run in find_runs_to_restart(runs, self.current_run_time_ratio, self.slow_ratio):
             self.log_run_time_ratio = max(
                 self.log_run_time_ratio, math.log(self.current_run_time_ratio)
             )
             self.changed = True
             self.stop(run, "slow", now)
 
+    @property
+    def slow_ratio(self):
+        """Run time ratio from which the worker counts as slow beside its usual speed."""
+        return SLOW_FACTOR * max(1.0, self.usual_speed.ratio)
+
     @property
     def run_time_ratio(self):
-        """Run times over their estimates: the average of ended runs.
+        """Run times over their estimates: the average of ended runs, and of running ones too if
+        that is higher.
 
-        The ratio of running runs counts instead if it is higher and at least `SLOW_FACTOR`.
+        The ratio of running runs alone counts if it is higher still and at least `slow_ratio`.
         """
-        average = math.exp(self.log_run_time_ratio)
-        if self.current_run_time_ratio is not None and self.current_run_time_ratio >= SLOW_FACTOR:
-            return max(average, self.current_run_time_ratio)
+        average = math.exp(max(self.log_run_time_ratio, self.projected_log_ratio))
+        if self.current_run_time_ratio is not None:
+            if self.current_run_time_ratio >= self.slow_ratio:
+                return max(average, self.current_run_time_ratio)
         return average
 
     def is_nearly_full(self, min_free_share):
@@ -470,4 +491,5 @@
             self.failure_share,
             worker.labels if worker else [],
             now,
+            usual_run_time_ratio=self.usual_speed.ratio,
         )
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -115,7 +115,11 @@
         job = task.job
         job.open_tasks[task.step] -= 1
         if event.run_ms:
-            self.estimates.record_run(job.request.queue.name, task.spec.expected_ms, event.run_ms)
+            # The run time on a worker of ratio 1: otherwise a queue whose tasks are placed on slow
+            # workers would be expected to take long, and these workers would appear fast.
+            usual = view.status.usual_run_time_ratio if view.status is not None else 1.0
+            queue = job.request.queue.name
+            self.estimates.record_run(queue, task.spec.expected_ms, event.run_ms / usual)
         if job.outcome is not None:
             self.remove_if_finished(job)
         elif not any(job.open_tasks):
--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -237,6 +237,8 @@
     labels : list of str
     clock : float
         The agent's clock at the time of the report; `PlaceTasks` sends it back.
+    usual_run_time_ratio : float
+        Average of run time over estimate in this lifetime of the worker, over some hundred runs.
     """
 
     worker: str
@@ -253,6 +255,8 @@
     failure_share: float
     labels: list[str] = field(factory=list)
     clock: float = 0.0
+    cpu_by_priority: list[int] = field(factory=list)
+    usual_run_time_ratio: float = 1.0
 
 
 @message(140)
--- a/onyxfork/direct/placement.py
+++ b/onyxfork/direct/placement.py
@@ -45,14 +45,6 @@
 PROBATION_FAILURE_SHARE = 0.2
 """From this share of failed runs an entry has at most one task at a time on a worker."""
 
-SUSPECT_RUN_TIME_FACTOR = 1.8
-"""From this multiple of the median run time, an entry has at most one task at a time on a worker;
-healthy workers are closer together."""
-
-SLOW_RUN_TIME_FACTOR = 2.0
-"""From this multiple of the median run time, a worker gets only tasks that would be on time
-there."""
-
 
 def can_ever_run(step, service, views):
     """Return whether any known worker of a service is large enough for a task of `step`."""
@@ -120,17 +112,19 @@
 
 
 def is_acceptable(task, view, baseline, now):
-    """Return whether a worker may get a task; if not, waiting for another one is better."""
+    """Return whether a worker may get a task; if not, waiting for another one is better.
+
+    An entry has at most one task at a time on a degraded worker, and only if it is on time there.
+    """
     failure_share = view.status.failure_share
     if failure_share >= FAULTY_FAILURE_SHARE or (
         failure_share >= PROBATION_FAILURE_SHARE and view.tasks
     ):
         return False
-    relative = baseline.relative_run_time(view)
-    if relative >= SUSPECT_RUN_TIME_FACTOR and view.tasks:
-        return False
-    ends_at = now + relative * task.expected_ms / 1000
-    return relative < SLOW_RUN_TIME_FACTOR or ends_at <= task.job.due_at
+    if not baseline.is_degraded(view):
+        return True
+    ends_at = now + baseline.relative_run_time(view) * task.expected_ms / 1000
+    return not view.tasks and ends_at <= task.job.due_at
 
 
 def has_other_suspect(task, view):
--- a/onyxfork/direct/progress.py
+++ b/onyxfork/direct/progress.py
@@ -4,11 +4,17 @@
 assessed only once it should have made substantial progress.
 """
 
+import math
 from statistics import median
 
 from onyxfork.direct.runs import RUNNING
 
-__all__ = ["find_stalled", "median_run_time_ratio", "find_runs_to_restart"]
+__all__ = [
+    "find_stalled",
+    "median_run_time_ratio",
+    "include_projections",
+    "find_runs_to_restart",
+]
 
 MIN_AGE_S = 0.1
 """Minimum age of a run that is assessed. Progress of a younger run may have been read before its
@@ -27,8 +33,9 @@
 be wrong by a large factor."""
 
 SLOW_FACTOR = 2.5
-"""Run times over their estimates from which a worker counts as slow; above the usual spread of
-estimates. On a worker below this factor no run is stopped for being slow."""
+"""Run times over their estimates from which a worker counts as slow, as a multiple of its usual
+ratio if that is above 1; higher than the usual spread of estimates. On a worker below this factor
+no run is stopped for being slow."""
 
 
 def find_stalled(runs, now):
@@ -78,7 +85,27 @@
     return median(projected) if len(projected) >= MIN_RUNS else None
 
 
-def find_runs_to_restart(runs, worker_ratio):
+def include_projections(log_ratio, weight, runs):
+    """Return a moving average of log run time ratios as if the running runs had ended.
+
+    A worker that becomes slow ends few runs; the projected times of those that run show it sooner.
+
+    Parameters
+    ----------
+    log_ratio : float
+        Average over the ended runs.
+    weight : float
+        Weight of one run.
+    runs : iterable of Run
+    """
+    for run in runs:
+        ratio = projected_run_time_ratio(run) if run.state == RUNNING else None
+        if ratio is not None:
+            log_ratio += weight * (math.log(ratio) - log_ratio)
+    return log_ratio
+
+
+def find_runs_to_restart(runs, worker_ratio, slow_ratio=SLOW_FACTOR):
     """Return the runs on a slow worker that would end sooner if restarted on another worker.
 
     The projected remaining time of such a run exceeds `SLOW_FACTOR / 2` times its estimate. Started
@@ -89,12 +116,14 @@
     runs : iterable of Run
     worker_ratio : float or None
         Result of :func:`median_run_time_ratio`.
+    slow_ratio : float
+        Ratio from which the worker counts as slow.
 
     Returns
     -------
     list of Run
     """
-    if worker_ratio is None or worker_ratio < SLOW_FACTOR:
+    if worker_ratio is None or worker_ratio < slow_ratio:
         return []
     to_restart = []
     for run in runs:
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -103,21 +103,69 @@
         self.pending_cpu = self.pending_memory = self.pending_gpu = 0
 
 
+DEGRADED_FACTOR = 1.8
+"""From this multiple of its own usual run time ratio a worker is degraded; the ratios of healthy
+workers stay closer together."""
+
+MAX_RELATIVE_RUN_TIME = 3.0
+"""From this multiple of the median run time ratio a worker counts as degraded whatever its usual
+ratio, so that one which has been slow since it started is found too."""
+
+
+RECENT_RATIO_SHARE = 0.85
+"""Weight of the recent ratio beside the usual one; it varies by about 12 % on a worker whose speed
+does not change."""
+
+
 class RunTimeBaseline:
-    """Median run-time ratio of the ready workers, the baseline for comparing workers.
+    """Medians of the ready workers' run time ratios, the baseline for comparing workers.
 
-    A run-time ratio is run time over estimate. Estimates may be biased on all workers alike, so a
+    A run time ratio is run time over estimate. Estimates may be biased on all workers alike, so a
     worker's ratio is meaningful only relative to the median.
+
+    Attributes
+    ----------
+    median_ratio : float
+        Median of the workers' recent ratios.
+    median_usual : float
+        Median of their usual ratios.
+    common_change : float
+        Median of the workers' recent ratios over their usual ones, at least 1. It rises when the
+        estimates of all tasks become too low, which no worker has to answer for.
     """
 
     def __init__(self):
         self.median_ratio = NEUTRAL_RUN_TIME_RATIO
+        self.median_usual = NEUTRAL_RUN_TIME_RATIO
+        self.common_change = 1.0
 
     def refresh(self, workers):
-        """Recompute the median over the ready workers."""
-        ratios = sorted(view.status.run_time_ratio for view in workers if view.is_ready)
-        self.median_ratio = ratios[len(ratios) // 2] if ratios else NEUTRAL_RUN_TIME_RATIO
+        """Recompute the medians over the ready workers."""
+        reports = [view.status for view in workers if view.is_ready]
+        changes = [status.run_time_ratio / status.usual_run_time_ratio for status in reports]
+        self.median_ratio = upper_median([status.run_time_ratio for status in reports])
+        self.median_usual = upper_median([status.usual_run_time_ratio for status in reports])
+        self.common_change = max(1.0, upper_median(changes))
+
+    def is_degraded(self, view):
+        """Return whether a worker has become slower, or is far slower than the others."""
+        status = view.status
+        usual = status.usual_run_time_ratio * self.common_change
+        return (
+            status.run_time_ratio >= DEGRADED_FACTOR * usual
+            or status.run_time_ratio >= MAX_RELATIVE_RUN_TIME * self.median_ratio
+        )
 
     def relative_run_time(self, view):
-        """Return a worker's run-time ratio as a multiple of the median."""
-        return view.status.run_time_ratio / self.median_ratio
+        """Return a worker's run time ratio as a multiple of the median.
+
+        The usual ratio counts, unless the recent one is clearly higher.
+        """
+        status = view.status
+        usual = status.usual_run_time_ratio / self.median_usual
+        return max(usual, RECENT_RATIO_SHARE * status.run_time_ratio / self.median_ratio)
+
+
+def upper_median(values):
+    """Return the upper median, or `NEUTRAL_RUN_TIME_RATIO` if there are no values."""
+    return sorted(values)[len(values) // 2] if values else NEUTRAL_RUN_TIME_RATIO
--- a/tests/direct/builders.py
+++ b/tests/direct/builders.py
@@ -24,6 +24,7 @@
     run_time_ratio=1.0,
     failure_share=0.0,
     labels=(),
+    usual_run_time_ratio=1.0,
 ):
     return WorkerStatus(
         "w1",
@@ -39,6 +40,7 @@
         run_time_ratio,
         failure_share,
         list(labels),
+        usual_run_time_ratio=usual_run_time_ratio,
     )
 
 
--- a/tests/direct/fleet.py
+++ b/tests/direct/fleet.py
@@ -21,7 +21,7 @@
 LEASE_S, RETURN_S = 1.08, 3.0
 RESEND_S = 1.3
 TASKS_PER_WORKER = CORES // TASK_CORES
-LINK_S, REPORT_S, TICK_S, REVIEW_S = 0.002, 0.02, 0.02, 0.1
+LINK_S, REPORT_S, TICK_S, REVIEW_S, PROGRESS_S = 0.002, 0.02, 0.02, 0.1, 0.1
 RACK_SIZE = 13
 
 
@@ -57,6 +57,8 @@
         Speeds of the workers that differ from 1, by agent: a task of 100 ms takes 125 ms at 0.8.
     counts : Counter
         Outcomes of jobs (``on time``, ``late`` or ``refused``) by queue, as (queue, outcome).
+    reads_progress : bool
+        Whether agents read the progress of runs, every `PROGRESS_S`.
     rejected : int
         Starts that a worker has refused for lack of capacity.
     """
@@ -71,6 +73,7 @@
         caller_timeout_ms=6e3,
         capacities=(),
         speeds=(),
+        reads_progress=False,
     ):
         self.now = 0.0
         self.counts = Counter()
@@ -107,6 +110,8 @@
         self.at(0.0, self.report)
         self.at(0.0, self.tick)
         self.at(REVIEW_S, self.review)
+        if reads_progress:
+            self.at(PROGRESS_S, self.read_progress)
 
     def at(self, delay, action, *arguments):
         heapq.heappush(self.events, (self.now + delay, next(self.sequence), action, arguments))
@@ -215,8 +220,7 @@
                 arbiter.on_start_reply(run, "room", self.now)
                 continue
             arbiter.on_start_reply(run, "started", self.now)
-            run_s = float(run.order.spec) / 1000 / self.speeds.get(agent, 1.0)
-            self.at(run_s, self.end, agent, run.order.ref)
+            self.at(self.run_s(agent, run), self.end, agent, run.order.ref)
             if run.order.job in self.crashing and not run.order.index:
                 self.starts.setdefault(run.order.job, []).append(self.now)
                 self.at(self.crash_delay_s, self.crash, agent)
@@ -232,6 +236,25 @@
                 self.at(LINK_S, self.on_events, session.entry, agent, events)
         self.dirty.add(agent)
 
+    def run_s(self, agent, run):
+        """Return how long a run takes on a worker at its present speed."""
+        return float(run.order.spec) / 1000 / self.speeds.get(agent, 1.0)
+
+    def read_progress(self):
+        """Tell every arbiter the progress of its runs, as a list of the worker does."""
+        for agent, arbiter in self.agents.items():
+            listed = {
+                run.order.ref: int(
+                    min(99.0, 100 * (self.now - run.started_at) / self.run_s(agent, run))
+                )
+                for run in arbiter.runs.values()
+                if run.has_started
+            }
+            arbiter.apply_running(listed, self.now, self.now)
+            if agent not in self.down:
+                self.step(agent)
+        self.at(PROGRESS_S, self.read_progress)
+
     def has_room(self, agent, run):
         """Return whether a run fits the present capacity of its worker."""
         running = [other for other in self.agents[agent].runs.values() if other.has_started]
--- a/tests/direct/test_placement.py
+++ b/tests/direct/test_placement.py
@@ -13,13 +13,19 @@
 )
 
 
-def place_on(statuses, **request):
-    """Return the number of tasks of one job that each agent gets, given the agents' reports."""
+def make_entry(statuses):
+    """Return a dispatcher whose agents have sent the given reports."""
     dispatcher = make_dispatcher(())
     for node, status in statuses.items():
         dispatcher.on_connected(node, "a")
         dispatcher.on_status(node, make_status(**status), 0.0)
     dispatcher.run_time_baseline.refresh(dispatcher.workers.values())
+    return dispatcher
+
+
+def place_on(statuses, **request):
+    """Return the number of tasks of one job that each agent gets, given the agents' reports."""
+    dispatcher = make_entry(statuses)
     dispatcher.submit(make_request(**request), 0.0)
     return {node: len(orders) for node, orders in take_orders(dispatcher).items()}
 
