Placement and admission by worker speed where speeds differ

Cause: where a quarter of the workers has 0.46 of the others' speed, long tasks were placed on slow workers, on which they are late, and admission counted that capacity for them.

Change: where the slowest quarter is below 0.75 of the median speed, a task gets no worker on which it would be late while one of usual speed would be in time; above a utilisation of about 0.75 the slowest worker on which it is on time is preferred. Admission counts free cores of workers on which the job would be on time, and running cores x speed. A worker's expected ratio is computed once per report.

--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -26,7 +26,7 @@
 from onyxfork.direct.dispatcher_news import RECOVERY_WINDOW_S, AgentEventMixin
 from onyxfork.direct.estimates import EstimateTable
 from onyxfork.direct.jobs import PLACED, WAITING, make_job
-from onyxfork.direct.placement import can_ever_run, choose_worker
+from onyxfork.direct.placement import can_ever_run, choose_worker, timely_workers
 from onyxfork.direct.requests import REFUSED, UNKNOWN, JobOutcome
 from onyxfork.direct.subsets import ANY_LABEL
 from onyxfork.direct.workers import RunTimeBaseline
@@ -88,8 +88,10 @@
         last so (monotonic seconds); `ANY_LABEL` stands for all workers.
     millicores_in_use : int
         Thousandths of a core that are reserved by runs at agents.
+    speed_in_use : float
+        The same times the usual speed of each run's worker.
     work_in_use : float
-        The same times the expected run time of each run, in milliseconds.
+        `millicores_in_use` times the expected run time of each run, in milliseconds.
     recovery_ends_at, startup_ends_at : float
         Monotonic seconds until which agents may still be connecting: after the start of the process
         or the loss of an agent, and after the start only.
@@ -120,6 +122,7 @@
         self.run_time_baseline = RunTimeBaseline()
         self.estimates = EstimateTable()
         self.millicores_in_use = 0
+        self.speed_in_use = 0.0
         self.work_in_use = 0.0
         self.orders = {}
         self.withdrawals = {}
@@ -173,7 +176,7 @@
                 return Refusal(f"step {position} fits no worker")
         queued = self.tasks_queued_at_agents(now)
         capacity = Capacity(
-            self.millicores_in_use - sum(task.spec.cpu for task in queued),
+            self.speed_in_use - sum(task.spec.cpu * task.speed for task in queued),
             self.free_millicores(job, views),
             self.work_in_use / max(1, self.millicores_in_use),
         )
@@ -188,8 +191,13 @@
         return refusal
 
     def free_millicores(self, job, views):
-        """Return the free capacity in whole tasks of the job's largest step."""
+        """Return the free capacity in whole tasks of the job's largest step.
+
+        Where workers differ in speed, those count on which the job would be on time.
+        """
         step = max(job.request.steps, key=lambda step: step.cpu)
+        if self.run_time_baseline.is_uneven:
+            views = timely_workers(job, views, self.run_time_baseline)
         if not step.cpu:
             return sum(max(0, view.cpu_free) for view in views)
         fitting = (view.cpu_free // step.cpu for view in views if view.fits_now(step))
@@ -294,7 +302,9 @@
         view.record_order(task.spec)
         view.tasks[task.ref.key] = task
         self.unstarted_tasks.add(task)
+        task.speed = 1 / view.status.usual_run_time_ratio
         self.millicores_in_use += task.spec.cpu
+        self.speed_in_use += task.spec.cpu * task.speed
         self.work_in_use += task.spec.cpu * task.expected_ms
         self.orders.setdefault(view.node, []).append(task.order(now))
 
@@ -311,6 +321,7 @@
         if view is not None:
             view.tasks.pop(task.ref.key, None)
         self.millicores_in_use -= task.spec.cpu
+        self.speed_in_use -= task.spec.cpu * task.speed
         self.work_in_use -= task.spec.cpu * task.expected_ms
 
     def recall_queued_runs(self, now):
--- a/onyxfork/direct/jobs.py
+++ b/onyxfork/direct/jobs.py
@@ -45,6 +45,8 @@
     crashes, suspected : int
         Workers that have crashed while they ran the task, and those of them in whose crash it is a
         suspect.
+    speed : float
+        Usual speed of the worker of the latest run, when it was placed there.
     """
 
     job: "Job"
@@ -64,6 +66,7 @@
     recalled: bool = False
     crashes: int = 0
     suspected: int = 0
+    speed: float = 1.0
 
     def record_crashes(self, count):
         """Raise the numbers of crashes to those of a `CrashCount`."""
--- a/onyxfork/direct/placement.py
+++ b/onyxfork/direct/placement.py
@@ -4,7 +4,7 @@
 penalties. The weights and penalties below are in the same unit.
 """
 
-__all__ = ["choose_worker", "can_ever_run", "FAULTY_FAILURE_SHARE"]
+__all__ = ["choose_worker", "can_ever_run", "timely_workers", "FAULTY_FAILURE_SHARE"]
 
 RUN_TIME_WEIGHT = 0.5
 """Weight of a worker's relative run time. It is below 1 because latency objectives allow for
@@ -13,6 +13,23 @@
 UTILISATION_WEIGHT = 0.5
 """Cost of a full worker compared with an empty one; spreads the work."""
 
+SLOW_WORKER_DISCOUNT = 0.3
+"""Subtracted per unit of relative run time where speeds differ and the task is on time on the
+worker, so that fast workers stay free for tasks that are on time only there."""
+
+LATE_PENALTY = 2.0
+"""Cost of a worker on which the task would be late, where speeds differ; more than a full worker
+costs."""
+
+TIMELY_MARGIN_MS = 10.0
+"""Time left for messages, the start and the answer when a task is judged to be on time."""
+
+ESTIMATE_ERROR_LOW, ESTIMATE_ERROR_HIGH = 0.7, 1.2
+"""Usual bounds on the true run time over the expected one."""
+
+RATIO_ERROR = 1.1
+"""Usual bound on a worker's true run time ratio over the one learnt from some hundred runs."""
+
 HIGH_UTILISATION_SHARE = 0.75
 """Above this utilisation a worker may be full before an order arrives."""
 
@@ -52,12 +69,56 @@
     return any(view.status.service == service and view.fits_when_empty(step) for view in reported)
 
 
-def placement_cost(task, view, baseline, rng, now, zone):
+def highest_timely_ratio(task, now):
+    """Return the highest run time ratio of a worker on which a task would be on time.
+
+    The latency objective is a fixed time plus a multiple of the job's run time. That multiple is as
+    wrong as the expected run time of the task itself, so only the fixed time, less what has passed
+    since the arrival, is compared with the bounds on the estimate.
+
+    Parameters
+    ----------
+    task : Task
+    now : float
+        Monotonic seconds.
+    """
+    job, expected_ms = task.job, max(1.0, task.expected_ms)
+    fixed_ms = job.request.queue.objective_ms - (now - job.arrived_at) * 1000
+    scaled_ms = (job.latest_start(task) - now) * 1000 + expected_ms - fixed_ms
+    fixed_ms -= TIMELY_MARGIN_MS
+    error = ESTIMATE_ERROR_HIGH if fixed_ms > 0 else ESTIMATE_ERROR_LOW
+    return (scaled_ms + fixed_ms / error) / expected_ms / RATIO_ERROR
+
+
+def timely_workers(job, views, baseline):
+    """Return the workers on which all tasks of a job that has just arrived would be on time."""
+    timely_ratio = min(highest_timely_ratio(task, job.arrived_at) for task in job.tasks)
+    if timely_ratio < baseline.median_expected:
+        return views
+    return [view for view in views if view.ratio <= timely_ratio]
+
+
+def speed_cost(view, baseline, timely_ratio):
+    """Return the part of the placement cost that depends on a worker's speed.
+
+    Where speeds differ, the slowest worker on which the task is on time costs least, and then the
+    fastest on which it is late.
+    """
+    relative = baseline.relative_run_time(view)
+    if not baseline.is_uneven:
+        return RUN_TIME_WEIGHT * relative
+    if view.ratio <= timely_ratio:
+        weight = RUN_TIME_WEIGHT + SLOW_WORKER_DISCOUNT
+        return (RUN_TIME_WEIGHT - weight * baseline.slow_worker_share) * relative
+    return LATE_PENALTY + relative
+
+
+def placement_cost(task, view, baseline, rng, now, zone, timely_ratio):
     """Return the cost of a task on a worker: its expected relative run time plus penalties."""
     step, status = task.spec, view.status
-    total = RUN_TIME_WEIGHT * baseline.relative_run_time(view)
+    total = speed_cost(view, baseline, timely_ratio)
     if step.rack and step.rack not in status.labels:
-        total *= REMOTE_RACK_FACTOR
+        total += (REMOTE_RACK_FACTOR - 1) * abs(total)
     if status.cpu:
         utilisation = 1 - view.cpu_free / status.cpu
         total += UTILISATION_WEIGHT * utilisation
@@ -98,14 +159,19 @@
     """
     best, best_cost = None, float("inf")
     step, service = task.spec, task.job.request.queue.service
+    timely_ratio = highest_timely_ratio(task, now) if baseline.is_uneven else 0.0
+    # Whether a worker of usual speed would be in time, for which it is better to wait.
+    can_wait = timely_ratio >= baseline.median_expected and not (step.label or step.rack)
     for view in views:
         if not view.is_ready or view.status.service != service:
             continue
         if not view.fits_now(step) or not is_acceptable(task, view, baseline, now):
             continue
+        if can_wait and view.ratio > timely_ratio:
+            continue
         if step.max_per_worker and count_step_tasks(task, view) >= step.max_per_worker:
             continue
-        candidate_cost = placement_cost(task, view, baseline, rng, now, zone)
+        candidate_cost = placement_cost(task, view, baseline, rng, now, zone, timely_ratio)
         if candidate_cost < best_cost:
             best, best_cost = view, candidate_cost
     return best
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -9,6 +9,10 @@
 READY = "ready"
 NEUTRAL_RUN_TIME_RATIO = 1.0
 
+RECENT_RATIO_SHARE = 0.85
+"""Weight of the recent ratio beside the usual one; it varies by about 12 % on a worker whose speed
+does not change."""
+
 
 @define(eq=False, slots=True)
 class WorkerView:
@@ -23,6 +27,9 @@
         Name of the agent's node.
     status : WorkerStatus or None
         The latest report on the current connection.
+    ratio : float
+        Run time ratio that placement expects: the usual one of the latest report, unless the recent
+        one is clearly higher.
     connected : bool
     orders_sent : int
         Number of orders sent on the current connection.
@@ -41,6 +48,7 @@
     node: str
     zone: str = ""
     status: object = None
+    ratio: float = NEUTRAL_RUN_TIME_RATIO
     connected: bool = False
     orders_sent: int = 0
     unacknowledged: deque = field(factory=deque)
@@ -88,6 +96,8 @@
     def update_status(self, status):
         """Store a newer report and drop the orders that it covers."""
         self.status = status
+        recent = RECENT_RATIO_SHARE * status.run_time_ratio
+        self.ratio = max(status.usual_run_time_ratio, recent)
         while self.unacknowledged and self.unacknowledged[0][0] <= status.orders_received:
             _, cpu, memory_mb, gpu = self.unacknowledged.popleft()
             self.pending_cpu -= cpu
@@ -112,9 +122,15 @@
 ratio, so that one which has been slow since it started is found too."""
 
 
-RECENT_RATIO_SHARE = 0.85
-"""Weight of the recent ratio beside the usual one; it varies by about 12 % on a worker whose speed
-does not change."""
+UNEVEN_SPEED_SHARE = 0.75
+"""Workers differ in speed if the mean speed of the slowest quarter is below this share of the
+median. A task that takes longer there than 1 / 0.75 of the usual time uses up most of what an
+objective of 1.6 times its run time leaves."""
+
+
+LOW_UTILISATION, HIGH_UTILISATION = 0.5, 0.9
+"""Utilisation (in cores x speed) below which the fast workers have room for everything, and from
+which they are left to the tasks that need them."""
 
 
 class RunTimeBaseline:
@@ -125,26 +141,41 @@
 
     Attributes
     ----------
-    median_ratio : float
+    median_recent : float
         Median of the workers' recent ratios.
-    median_usual : float
-        Median of their usual ratios.
+    median_expected : float
+        Median of the ratios that placement expects.
+    is_uneven : bool
+        Whether workers differ so much in speed that placement chooses by speed.
+    slow_worker_share : float
+        How much placement prefers slow workers for tasks that are on time there, 0 to 1.
     common_change : float
         Median of the workers' recent ratios over their usual ones, at least 1. It rises when the
         estimates of all tasks become too low, which no worker has to answer for.
     """
 
     def __init__(self):
-        self.median_ratio = NEUTRAL_RUN_TIME_RATIO
-        self.median_usual = NEUTRAL_RUN_TIME_RATIO
+        self.median_recent = NEUTRAL_RUN_TIME_RATIO
+        self.median_expected = NEUTRAL_RUN_TIME_RATIO
+        self.is_uneven = False
+        self.slow_worker_share = 0.0
         self.common_change = 1.0
 
     def refresh(self, workers):
         """Recompute the medians over the ready workers."""
-        reports = [view.status for view in workers if view.is_ready]
+        views = [view for view in workers if view.is_ready]
+        reports = [view.status for view in views]
         changes = [status.run_time_ratio / status.usual_run_time_ratio for status in reports]
-        self.median_ratio = upper_median([status.run_time_ratio for status in reports])
-        self.median_usual = upper_median([status.usual_run_time_ratio for status in reports])
+        self.median_recent = upper_median([status.run_time_ratio for status in reports])
+        expected = sorted(view.ratio for view in views)
+        self.median_expected = upper_median(expected)
+        slowest = expected[-max(1, len(expected) // 4) :]
+        speeds = [self.median_expected / ratio for ratio in slowest]
+        self.is_uneven = sum(speeds) < UNEVEN_SPEED_SHARE * len(speeds)
+        cpu = sum(status.cpu / status.usual_run_time_ratio for status in reports)
+        free = sum(max(0, status.cpu_free) / status.usual_run_time_ratio for status in reports)
+        excess = 1 - free / cpu - LOW_UTILISATION if cpu else 0.0
+        self.slow_worker_share = min(1.0, max(0.0, excess / (HIGH_UTILISATION - LOW_UTILISATION)))
         self.common_change = max(1.0, upper_median(changes))
 
     def is_degraded(self, view):
@@ -153,17 +184,12 @@
         usual = status.usual_run_time_ratio * self.common_change
         return (
             status.run_time_ratio >= DEGRADED_FACTOR * usual
-            or status.run_time_ratio >= MAX_RELATIVE_RUN_TIME * self.median_ratio
+            or status.run_time_ratio >= MAX_RELATIVE_RUN_TIME * self.median_recent
         )
 
     def relative_run_time(self, view):
-        """Return a worker's run time ratio as a multiple of the median.
-
-        The usual ratio counts, unless the recent one is clearly higher.
-        """
-        status = view.status
-        usual = status.usual_run_time_ratio / self.median_usual
-        return max(usual, RECENT_RATIO_SHARE * status.run_time_ratio / self.median_ratio)
+        """Return a worker's run time ratio as a multiple of the median."""
+        return view.ratio / self.median_expected
 
 
 def upper_median(values):
