Agents report how long a worker that leaves stays

Cause: a worker announces with drainRemainingMs how long it stays at least; the agent ignored the field.

Change: the report's field is decoded (an invalid value is an error that names it) and sent to entries as WorkerStatus.leaves_in_ms, -1 without an announcement. Nothing uses it yet: whether tasks that end in time should start on a leaving worker is not decided, so none do, as before.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -200,6 +200,7 @@
                 worker.state = "draining"
             if not same_lifetime:
                 self.on_lifetime_lost("a new lifetime of the worker has begun", now)
+        worker.reported_at = now
         self.worker = worker
         self.cpu_limit = worker.cpu
         self.changed = True
@@ -484,6 +485,13 @@
         cpu_free = self.cpu_limit - self.cpu_used - self.cpu_queued
         return cpu_free < min_free_share * self.worker.cpu
 
+    def leaves_in_ms(self, now):
+        """Return how long the worker stays at least, -1 if it has not announced that it leaves."""
+        worker = self.worker
+        if worker is None or worker.drain_remaining_ms < 0:
+            return -1.0
+        return max(0.0, worker.drain_remaining_ms - (now - worker.reported_at) * 1000)
+
     def status(self, session, now):
         """Return the status report for one entry."""
         worker = self.worker
@@ -504,4 +512,5 @@
             worker.labels if worker else [],
             now,
             usual_run_time_ratio=self.usual_speed.ratio,
+            leaves_in_ms=self.leaves_in_ms(now),
         )
--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -239,6 +239,8 @@
         The agent's clock at the time of the report; `PlaceTasks` sends it back.
     usual_run_time_ratio : float
         Average of run time over estimate in this lifetime of the worker, over some hundred runs.
+    leaves_in_ms : float
+        How long a worker that is leaving stays at least; negative if it has not announced that.
     """
 
     worker: str
@@ -257,6 +259,7 @@
     clock: float = 0.0
     cpu_by_priority: list[int] = field(factory=list)
     usual_run_time_ratio: float = 1.0
+    leaves_in_ms: float = -1
 
 
 @message(140)
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -112,6 +112,11 @@
     labels : list of str
     sequence : int
         Sequence number of the latest report.
+    drain_remaining_ms : float
+        How long the worker stays at least after the latest report; negative if it hasn't announced
+        that it leaves.
+    reported_at : float
+        When the latest report arrived.
     """
 
     id: str
@@ -123,6 +128,8 @@
     gpu: int
     labels: list = field(factory=list)
     sequence: int = 0
+    drain_remaining_ms: float = -1.0
+    reported_at: float = 0.0
 
 
 @define(eq=False)
--- a/onyxfork/platform/reports.py
+++ b/onyxfork/platform/reports.py
@@ -7,7 +7,14 @@
 import logging
 
 from onyxfork.direct.runs import Worker
-from onyxfork.platform.fields import FieldError, read_integer, read_list, read_object, read_string
+from onyxfork.platform.fields import (
+    FieldError,
+    read_integer,
+    read_list,
+    read_number,
+    read_object,
+    read_string,
+)
 from onyxfork.platform.http import json_response
 
 __all__ = ["ReportHandler", "decode_report"]
@@ -37,6 +44,7 @@
     labels = read_list(data, "labels", [])
     if not all(isinstance(label, str) for label in labels):
         raise FieldError("labels: expected a list of strings")
+    announces_leave = state == "draining" and data.get("drainRemainingMs") is not None
     return Worker(
         id=worker_id,
         # born: start of the worker's lifetime in milliseconds, by the worker's clock.
@@ -48,6 +56,7 @@
         gpu=read_integer(capacity, "gpu", 0),
         labels=labels,
         sequence=read_integer(data, "seq", 0),
+        drain_remaining_ms=read_number(data, "drainRemainingMs") if announces_leave else -1.0,
     )
 
 
