--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -19,8 +19,10 @@
 from onyxfork.direct.precedence import OVERDUE_PENALTY_S, priority_index
 from onyxfork.direct.progress import (
     SLOW_FACTOR,
+    StallHistory,
     find_runs_to_restart,
     find_stalled,
+    include_projections,
     median_run_time_ratio,
 )
 from onyxfork.direct.runs import (
@@ -32,6 +34,7 @@
     STOPPING,
     TOO_LARGE,
 )
+from onyxfork.direct.worker_speed import UsualSpeed
 
 __all__ = ["Arbiter"]
 
@@ -44,8 +47,10 @@
 MAX_ENDED_EVENTS = 4096
 """Upper bound on the events of ended runs that a session stores for an entry that reconnects."""
 
-RUN_TIME_EMA_WEIGHT = 0.1
-"""Weight of the latest run in the moving average of run times over their estimates."""
+RUN_TIME_EMA_WEIGHT = 0.2
+"""Weight of the latest run in the moving average of run times over their estimates. With it about
+ten runs show that a worker has fallen to half its speed; a busy worker ends them in half a
+second."""
 
 FAILURE_EMA_WEIGHT = 0.25
 """Weight of the latest run in the moving average of failures. With it three failures in a row bring
@@ -58,9 +63,6 @@
 """Time constant of the exponential decay of the failure share and of a high run time ratio, so that
 a worker that is given no work because of them gets some again."""
 
-STALLED_FAILURE_SHARE = 0.8
-"""Lower bound on the failure share when a run stalls, because other runs are likely to stall."""
-
 MAX_ENDED_LIFETIMES = 16
 """Upper bound on the ended lifetimes of the worker that are remembered."""
 
@@ -126,8 +128,14 @@
         refused a run for lack of capacity since.
     log_run_time_ratio : float
         Moving average of the logarithm of run times over their estimates.
+    usual_speed : UsualSpeed
+        Average of run times over their estimates in this lifetime of the worker.
     failure_share : float
         Moving average of the share of failed runs.
+    stall_history : StallHistory
+        Which of the latest runs made progress.
+    projected_log_ratio : float
+        The same average, with the projected run times of the runs that run.
     current_run_time_ratio : float or None
         Median of the projected run times of running runs over their estimates.
     suspension_detected_at : float
@@ -162,8 +170,10 @@
         self.cpu_used = self.memory_used = self.gpu_used = 0
         self.cpu_queued = self.memory_queued = self.gpu_queued = 0
         self.cpu_by_priority = []
-        self.log_run_time_ratio = 0.0
+        self.log_run_time_ratio = self.projected_log_ratio = 0.0
+        self.usual_speed = UsualSpeed()
         self.failure_share = 0.0
+        self.stall_history = StallHistory()
         self.current_run_time_ratio = None
         self.last_tick_at = None
         self.suspension_detected_at = float("-inf")
@@ -204,6 +214,7 @@
                 worker.state = "draining"
             if not same_lifetime:
                 self.on_lifetime_lost("a new lifetime of the worker has begun", now)
+        worker.reported_at = now
         self.worker = worker
         self.cpu_limit = worker.cpu
         self.cold_until = now + worker.cold_left_ms / 1000
@@ -226,7 +237,9 @@
             kind = "returned" if run.state == QUEUED else "lost"
             self.finish(run, kind, now, reason)
         self.failure_share = 0.0
-        self.log_run_time_ratio = 0.0
+        self.stall_history = StallHistory()
+        self.log_run_time_ratio = self.projected_log_ratio = 0.0
+        self.usual_speed = UsualSpeed()
         self.unhealthy_until = 0.0
         self.last_answer_at, self.silence = now, None
 
@@ -419,13 +432,20 @@
         run.session.events.append(event)
 
     def record_outcome(self, failed):
-        """Update the moving average of the share of failed runs."""
-        self.failure_share += FAILURE_EMA_WEIGHT * ((1.0 if failed else 0.0) - self.failure_share)
+        """Update the moving average of the share of failed runs.
+
+        A success does not lower it below the bound that follows from stalled runs.
+        """
+        average = self.failure_share + FAILURE_EMA_WEIGHT * (failed - self.failure_share)
+        if not failed:
+            average = max(average, min(self.failure_share, self.stall_history.failure_share))
+        self.failure_share = average
 
     def record_run_time(self, run_ms, expected_ms):
-        """Update the moving average of the logarithm of run times over their estimates."""
+        """Update the recent and the usual average of run times over their estimates."""
         ratio = max(run_ms, MIN_EXPECTED_MS) / max(expected_ms, MIN_EXPECTED_MS)
         self.log_run_time_ratio += RUN_TIME_EMA_WEIGHT * (math.log(ratio) - self.log_run_time_ratio)
+        self.usual_speed.record(ratio, math.exp(self.log_run_time_ratio))
 
     # Time
 
@@ -438,7 +458,7 @@
         if self.last_tick_at is not None:
             decay = math.exp((self.last_tick_at - now) / DECAY_TIME_CONSTANT_S)
             self.failure_share *= decay
-            if self.log_run_time_ratio > math.log(SLOW_FACTOR):
+            if self.log_run_time_ratio > math.log(self.slow_ratio):
                 self.log_run_time_ratio *= decay
         self.last_tick_at = now
         self.stop_slow_runs(now)
@@ -453,27 +473,41 @@
     def stop_slow_runs(self, now):
         """Stop runs that have stalled or would end sooner on another worker."""
         runs = list(self.runs.values())
+        for run in runs:
+            if run.state == RUNNING and run.percent:
+                self.stall_history.record_progress(run)
         for run in find_stalled(runs, now):
-            self.failure_share = max(self.failure_share, STALLED_FAILURE_SHARE)
+            self.stall_history.record_stall(run)
+            self.failure_share = max(self.failure_share, self.stall_history.failure_share)
             self.changed = True
             self.stop(run, "stalled", now)
         self.current_run_time_ratio = median_run_time_ratio(runs)
-        for run in find_runs_to_restart(runs, self.current_run_time_ratio):
+        self.projected_log_ratio = include_projections(
+            self.log_run_time_ratio, RUN_TIME_EMA_WEIGHT, runs
+        )
+        for run in find_runs_to_restart(runs, self.current_run_time_ratio, self.slow_ratio):
             self.log_run_time_ratio = max(
                 self.log_run_time_ratio, math.log(self.current_run_time_ratio)
             )
             self.changed = True
             self.stop(run, "slow", now)
 
+    @property
+    def slow_ratio(self):
+        """Run time ratio from which the worker counts as slow beside its usual speed."""
+        return SLOW_FACTOR * max(1.0, self.usual_speed.ratio)
+
     @property
     def run_time_ratio(self):
-        """Run times over their estimates: the average of ended runs.
+        """Run times over their estimates: the average of ended runs, and of running ones too if
+        that is higher.
 
-        The ratio of running runs counts instead if it is higher and at least `SLOW_FACTOR`.
+        The ratio of running runs alone counts if it is higher still and at least `slow_ratio`.
         """
-        average = math.exp(self.log_run_time_ratio)
-        if self.current_run_time_ratio is not None and self.current_run_time_ratio >= SLOW_FACTOR:
-            return max(average, self.current_run_time_ratio)
+        average = math.exp(max(self.log_run_time_ratio, self.projected_log_ratio))
+        if self.current_run_time_ratio is not None:
+            if self.current_run_time_ratio >= self.slow_ratio:
+                return max(average, self.current_run_time_ratio)
         return average
 
     def is_nearly_full(self, min_free_share):
@@ -490,6 +524,13 @@
         """
         return max(0.0, self.cold_until - now) * 1000 if self.restored else 0.0
 
+    def leaves_in_ms(self, now):
+        """Return how long the worker stays at least, -1 if it has not announced that it leaves."""
+        worker = self.worker
+        if worker is None or worker.drain_remaining_ms < 0:
+            return -1.0
+        return max(0.0, worker.drain_remaining_ms - (now - worker.reported_at) * 1000)
+
     def status(self, session, now):
         """Return the status report for one entry."""
         worker = self.worker
@@ -509,6 +550,8 @@
             self.failure_share,
             worker.labels if worker else [],
             now,
-            self.cold_left_ms(now),
-            list(self.cpu_by_priority),
+            cold_left_ms=self.cold_left_ms(now),
+            cpu_by_priority=list(self.cpu_by_priority),
+            usual_run_time_ratio=self.usual_speed.ratio,
+            leaves_in_ms=self.leaves_in_ms(now),
         )
--- a/onyxfork/direct/progress.py
+++ b/onyxfork/direct/progress.py
@@ -4,11 +4,21 @@
 assessed only once it should have made substantial progress.
 """
 
+import math
+from collections import deque
 from statistics import median
 
+from attrs import define, field
+
 from onyxfork.direct.runs import RUNNING
 
-__all__ = ["find_stalled", "median_run_time_ratio", "find_runs_to_restart"]
+__all__ = [
+    "StallHistory",
+    "find_stalled",
+    "median_run_time_ratio",
+    "include_projections",
+    "find_runs_to_restart",
+]
 
 MIN_AGE_S = 0.1
 """Minimum age of a run that is assessed. Progress of a younger run may have been read before its
@@ -27,8 +37,55 @@
 be wrong by a large factor."""
 
 SLOW_FACTOR = 2.5
-"""Run times over their estimates from which a worker counts as slow; above the usual spread of
-estimates. On a worker below this factor no run is stopped for being slow."""
+"""Run times over their estimates from which a worker counts as slow, as a multiple of its usual
+ratio if that is above 1; higher than the usual spread of estimates. On a worker below this factor
+no run is stopped for being slow."""
+
+
+MAX_FINDINGS = 10
+"""Number of latest runs from which the share of stalled ones is taken. At two stalled in five, at
+least three of ten are soon reached; one in ten leaves the worker in service."""
+
+STALL_WEIGHT = 2.0
+"""Failure share over the share of stalled runs. A stalled run says more about its worker than one
+that makes progress, because tasks that stall everywhere are rare."""
+
+MAX_STALLED_FAILURE_SHARE = 0.8
+"""Upper bound on the failure share that follows from stalled runs, so that it soon decays."""
+
+
+@define
+class StallHistory:
+    """The latest runs of a worker that either made progress or stalled.
+
+    Stalled runs of one job count once, because its tasks may hang wherever they run.
+
+    Parameters
+    ----------
+    findings : deque of str
+        Job of each stalled run, empty for a run that made progress.
+    """
+
+    findings: deque = field(factory=lambda: deque(maxlen=MAX_FINDINGS))
+
+    @property
+    def failure_share(self):
+        """Lower bound on the worker's failure share."""
+        stalled = sum(1 for job in self.findings if job)
+        if not stalled:
+            return 0.0
+        return min(MAX_STALLED_FAILURE_SHARE, STALL_WEIGHT * stalled / len(self.findings))
+
+    def record_progress(self, run):
+        """Record that a run makes progress, the first time that it is found."""
+        if not run.found_progressing:
+            run.found_progressing = True
+            self.findings.append("")
+
+    def record_stall(self, run):
+        """Record a stalled run."""
+        if run.order.job not in self.findings:
+            self.findings.append(run.order.job)
 
 
 def find_stalled(runs, now):
@@ -78,7 +135,27 @@
     return median(projected) if len(projected) >= MIN_RUNS else None
 
 
-def find_runs_to_restart(runs, worker_ratio):
+def include_projections(log_ratio, weight, runs):
+    """Return a moving average of log run time ratios as if the running runs had ended.
+
+    A worker that becomes slow ends few runs; the projected times of those that run show it sooner.
+
+    Parameters
+    ----------
+    log_ratio : float
+        Average over the ended runs.
+    weight : float
+        Weight of one run.
+    runs : iterable of Run
+    """
+    for run in runs:
+        ratio = projected_run_time_ratio(run) if run.state == RUNNING else None
+        if ratio is not None:
+            log_ratio += weight * (math.log(ratio) - log_ratio)
+    return log_ratio
+
+
+def find_runs_to_restart(runs, worker_ratio, slow_ratio=SLOW_FACTOR):
     """Return the runs on a slow worker that would end sooner if restarted on another worker.
 
     The projected remaining time of such a run exceeds `SLOW_FACTOR / 2` times its estimate. Started
@@ -89,12 +166,14 @@
     runs : iterable of Run
     worker_ratio : float or None
         Result of :func:`median_run_time_ratio`.
+    slow_ratio : float
+        Ratio from which the worker counts as slow.
 
     Returns
     -------
     list of Run
     """
-    if worker_ratio is None or worker_ratio < SLOW_FACTOR:
+    if worker_ratio is None or worker_ratio < slow_ratio:
         return []
     to_restart = []
     for run in runs:
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -56,6 +56,8 @@
         When the progress last increased.
     progress_read_at : float
         When the latest progress was requested.
+    found_progressing : bool
+        Whether the run has counted as one that makes progress.
     """
 
     order: object
@@ -71,6 +73,7 @@
     percent: int = 0
     progressed_at: float = 0.0
     progress_read_at: float = 0.0
+    found_progressing: bool = False
 
     @property
     def key(self):
@@ -112,6 +115,11 @@
         Sequence number of the latest report.
     cold_left_ms : int
         How long the worker remains slow because it is cold, at the time of the report.
+    drain_remaining_ms : float
+        How long the worker stays at least after the latest report; negative if it hasn't announced
+        that it leaves.
+    reported_at : float
+        When the latest report arrived.
     """
 
     id: str
@@ -124,6 +132,8 @@
     labels: list = field(factory=list)
     sequence: int = 0
     cold_left_ms: int = 0
+    drain_remaining_ms: float = -1.0
+    reported_at: float = 0.0
 
 
 @define(eq=False)
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -14,6 +14,10 @@
 """Weight of the latest run in a cold worker's average: a worker warms up within seconds, and the
 average of about three runs more than halves the error of estimates, which are off by 40 %."""
 
+RECENT_RATIO_SHARE = 0.85
+"""Weight of the recent ratio beside the usual one; it varies by about 12 % on a worker whose speed
+does not change."""
+
 
 @define(eq=False, slots=True)
 class WorkerView:
@@ -28,6 +32,9 @@
         Name of the agent's node.
     status : WorkerStatus or None
         The latest report on the current connection.
+    ratio : float
+        Run time ratio that placement expects: the usual one of the latest report, unless the recent
+        one is clearly higher.
     connected : bool
     orders_sent : int
         Number of orders sent on the current connection.
@@ -55,6 +62,7 @@
     node: str
     zone: str = ""
     status: object = None
+    ratio: float = NEUTRAL_RUN_TIME_RATIO
     connected: bool = False
     orders_sent: int = 0
     unacknowledged: deque = field(factory=deque)
@@ -114,6 +122,8 @@
         self.status = status
         if not self.is_cold:
             self.cold_run_time_ratio = None
+        recent = RECENT_RATIO_SHARE * status.run_time_ratio
+        self.ratio = max(status.usual_run_time_ratio, recent)
         while self.unacknowledged and self.unacknowledged[0][0] <= status.orders_received:
             _, cpu, memory_mb, gpu = self.unacknowledged.popleft()
             self.pending_cpu -= cpu
@@ -136,21 +146,84 @@
         self.pending_cpu = self.pending_memory = self.pending_gpu = 0
 
 
+DEGRADED_FACTOR = 1.8
+"""From this multiple of its own usual run time ratio a worker is degraded; the ratios of healthy
+workers stay closer together."""
+
+MAX_RELATIVE_RUN_TIME = 3.0
+"""From this multiple of the median run time ratio a worker counts as degraded whatever its usual
+ratio, so that one which has been slow since it started is found too."""
+
+
+UNEVEN_SPEED_SHARE = 0.68
+"""Workers differ in speed if the mean speed of the slowest quarter is below this share of the
+median. Workers of 0.8 beside 1.0, which serve tasks of any length on time, fall below 0.75 because
+ratios are known to 10 % only."""
+
+LOW_UTILISATION, HIGH_UTILISATION = 0.5, 0.9
+"""Utilisation (in cores x speed) below which the fast workers have room for everything, and from
+which they are left to the tasks that need them."""
+
+
 class RunTimeBaseline:
-    """Median run-time ratio of the ready workers, the baseline for comparing workers.
+    """Medians of the ready workers' run time ratios, the baseline for comparing workers.
 
-    A run-time ratio is run time over estimate. Estimates may be biased on all workers alike, so a
+    A run time ratio is run time over estimate. Estimates may be biased on all workers alike, so a
     worker's ratio is meaningful only relative to the median.
+
+    Attributes
+    ----------
+    median_recent : float
+        Median of the workers' recent ratios.
+    median_expected : float
+        Median of the ratios that placement expects.
+    is_uneven : bool
+        Whether workers differ so much in speed that placement chooses by speed.
+    slow_worker_share : float
+        How much placement prefers slow workers for tasks that are on time there, 0 to 1.
+    common_change : float
+        Median of the workers' recent ratios over their usual ones, at least 1. It rises when the
+        estimates of all tasks become too low, which no worker has to answer for.
     """
 
     def __init__(self):
-        self.median_ratio = NEUTRAL_RUN_TIME_RATIO
+        self.median_recent = NEUTRAL_RUN_TIME_RATIO
+        self.median_expected = NEUTRAL_RUN_TIME_RATIO
+        self.is_uneven = False
+        self.slow_worker_share = 0.0
+        self.common_change = 1.0
 
     def refresh(self, workers):
-        """Recompute the median over the ready workers."""
-        ratios = sorted(view.status.run_time_ratio for view in workers if view.is_ready)
-        self.median_ratio = ratios[len(ratios) // 2] if ratios else NEUTRAL_RUN_TIME_RATIO
+        """Recompute the medians over the ready workers."""
+        views = [view for view in workers if view.is_ready]
+        reports = [view.status for view in views]
+        changes = [status.run_time_ratio / status.usual_run_time_ratio for status in reports]
+        self.median_recent = upper_median([status.run_time_ratio for status in reports])
+        expected = sorted(view.ratio for view in views)
+        self.median_expected = upper_median(expected)
+        slowest = expected[-max(1, len(expected) // 4) :]
+        speeds = [self.median_expected / ratio for ratio in slowest]
+        self.is_uneven = sum(speeds) < UNEVEN_SPEED_SHARE * len(speeds)
+        cpu = sum(status.cpu / status.usual_run_time_ratio for status in reports)
+        free = sum(max(0, status.cpu_free) / status.usual_run_time_ratio for status in reports)
+        excess = 1 - free / cpu - LOW_UTILISATION if cpu else 0.0
+        self.slow_worker_share = min(1.0, max(0.0, excess / (HIGH_UTILISATION - LOW_UTILISATION)))
+        self.common_change = max(1.0, upper_median(changes))
+
+    def is_degraded(self, view):
+        """Return whether a worker has become slower, or is far slower than the others."""
+        status = view.status
+        usual = status.usual_run_time_ratio * self.common_change
+        return (
+            status.run_time_ratio >= DEGRADED_FACTOR * usual
+            or status.run_time_ratio >= MAX_RELATIVE_RUN_TIME * self.median_recent
+        )
 
     def relative_run_time(self, view):
-        """Return a worker's run-time ratio as a multiple of the median."""
-        return view.status.run_time_ratio / self.median_ratio
+        """Return a worker's run time ratio as a multiple of the median."""
+        return view.ratio / self.median_expected
+
+
+def upper_median(values):
+    """Return the upper median, or `NEUTRAL_RUN_TIME_RATIO` if there are no values."""
+    return sorted(values)[len(values) // 2] if values else NEUTRAL_RUN_TIME_RATIO
