Retry-After from booked capacity

Cause: every refused caller was told about one second, whatever the load, so callers refused together returned together and were refused again.

Change: direct/return_times.py books, in intervals of 0.1 s, the work of each refused job into the first whole second after the backlog of its and higher priorities that still has room. Room is 0.9 of the entry's running cores less the average demand of new jobs of the same and higher priorities, at least a tenth. Beyond 30 s the least booked interval is chosen. Jobs that await no capacity here (they fit no worker, have a copy inside, or the entry is stopping) keep the lower bound of their refusal and book nothing. Jobs accepted and refused later book too.

--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -22,7 +22,9 @@
     WorkerStatus,
     share_specs,
 )
+from onyxfork.direct.placement import can_ever_run
 from onyxfork.direct.requests import REFUSED, JobOutcome
+from onyxfork.direct.return_times import ReturnTimes, job_work
 from onyxfork.errors import ProtocolError
 from onyxfork.messages import serve
 from onyxfork.utils import logged_failures, owned_tasks
@@ -83,6 +85,8 @@
         Address and dialer task by agent.
     answer_futures : dict of Job to asyncio.Future
         Futures that receive the outcomes of jobs.
+    return_times : ReturnTimes
+        When refused callers return.
     subset_review_at : float
         Monotonic seconds of the next `review_subset`.
     stop_started_at : float or None
@@ -96,6 +100,7 @@
         self.clock = clock
         self.telemetry = telemetry
         self.dispatcher = Dispatcher(clock.now(), zone=settings.zone)
+        self.return_times = ReturnTimes(clock.now(), self.dispatcher.rng)
         self.configured = asyncio.Event()
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
         self.control.directory_listeners.append(self.update_agent_dialers)
@@ -149,6 +154,7 @@
             return self.refused_outcome(request, result)
         future = asyncio.get_running_loop().create_future()
         self.answer_futures[result] = future
+        self.return_times.record_accepted(request.queue.priority, job_work(request))
         fields = {"slack_ms": round((min(map(result.latest_start, result.tasks)) - now) * 1000)}
         log.info("job accepted", extra={**self.admission_log_fields(request), **fields})
         self.flush()
@@ -169,14 +175,29 @@
 
     def refused_outcome(self, request, refusal):
         """Log and count the refusal of a job; return it as a `JobOutcome`."""
+        delay_ms = self.return_delay_ms(request, refusal.retry_after_ms)
         fields = {
             "outcome": REFUSED,
             "reason": refusal.reason,
-            "retry_after_ms": round(refusal.retry_after_ms),
+            "retry_after_ms": round(delay_ms),
         }
         log.info("job refused", extra={**self.admission_log_fields(request), **fields})
         self.telemetry.count("jobs", queue=request.queue.name, state=REFUSED)
-        return JobOutcome(REFUSED, refusal.reason, refusal.retry_after_ms)
+        return JobOutcome(REFUSED, refusal.reason, delay_ms)
+
+    def return_delay_ms(self, request, min_delay_ms):
+        """Return the delay after which the caller of a refused job should return.
+
+        Only jobs that wait for capacity here book it: a job that fits no worker would keep others
+        from it, and the caller of an entry that is stopping can try another one.
+        """
+        steps, service = request.steps, request.queue.service
+        views = self.dispatcher.workers.values()
+        fits = not views or all(can_ever_run(step, service, views) for step in steps)
+        if self.stop_started_at is not None or request.job in self.dispatcher.jobs or not fits:
+            return min_delay_ms
+        now, priority = self.clock.now(), request.queue.priority
+        return self.return_times.book(priority, job_work(request), min_delay_ms, now)
 
     def admission_log_fields(self, request):
         """Return log fields with the state on which the admission of a job depends."""
@@ -315,6 +336,8 @@
         """Log and count a job's outcome and pass it to the caller."""
         now = self.clock.now()
         outcome, queue = job.outcome, job.request.queue.name
+        if outcome.state == REFUSED:
+            outcome.retry_after_ms = self.return_delay_ms(job.request, outcome.retry_after_ms)
         elapsed_ms = (now - job.arrived_at) * 1000
         placed = job.first_placed_at
         fields = {
@@ -348,6 +371,7 @@
     def tick(self, now):
         """Apply the changes that depend on time alone."""
         self.dispatcher.tick(now)
+        self.return_times.observe(self.dispatcher, now)
         self.flush()
         if now >= self.subset_review_at:
             self.subset_review_at = now + SUBSET_INTERVAL_S
