Entries refuse jobs that their own delay would make late

Cause: an entry whose processor is busy accepted every job that its workers had capacity for and served it late. Its readiness followed each worker that came and went.

Change: direct/entry_load.py measures how late ticks run. Log line `readiness changed`, gauge loop_delay_ms.

--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -7,6 +7,7 @@
 from onyxfork.direct.admission import Refusal
 from onyxfork.direct.dispatcher import Dispatcher
 from onyxfork.direct.documents import decompress_document
+from onyxfork.direct.entry_load import EntryLoad, Readiness, job_slack_ms
 from onyxfork.direct.jobs import longest_chain_ms
 from onyxfork.direct.links import ControlLinks, Dialer
 from onyxfork.direct.messages import (
@@ -85,6 +86,10 @@
         Address and dialer task by agent.
     answer_futures : dict of Job to asyncio.Future
         Futures that receive the outcomes of jobs.
+    load : EntryLoad
+        The delay of this process's event loop.
+    readiness : Readiness
+        What the load balancer is told, unless the process stops.
     return_times : ReturnTimes
         When refused callers return.
     subset_review_at : float
@@ -100,6 +105,8 @@
         self.clock = clock
         self.telemetry = telemetry
         self.dispatcher = Dispatcher(clock.now(), zone=settings.zone)
+        self.load = EntryLoad(clock.now(), TICK_S)
+        self.readiness = Readiness()
         self.return_times = ReturnTimes(clock.now(), self.dispatcher.rng)
         self.configured = asyncio.Event()
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
@@ -113,6 +120,7 @@
         self.subset_review_at = clock.now()
         self.spawn = None
         telemetry.gauge("jobs_inside", lambda: len(self.dispatcher.jobs))
+        telemetry.gauge("loop_delay_ms", lambda: round(self.load.delay_ms, 1))
         telemetry.gauge("tasks_waiting", lambda: len(self.dispatcher.waiting_tasks))
 
     def hello(self):
@@ -122,8 +130,22 @@
     @property
     def is_ready(self):
         """Whether the load balancer may send new connections here."""
-        ready = any(view.is_ready for view in self.dispatcher.workers.values())
-        return self.stop_started_at is None and self.control.document is not None and ready
+        return self.stop_started_at is None and self.readiness.is_ready
+
+    def update_readiness(self, now):
+        """Update what the load balancer is told from configuration, workers and own delay."""
+        workers_ready = sum(view.is_ready for view in self.dispatcher.workers.values())
+        can_serve = self.control.document is not None and workers_ready > 0
+        delay_ms = self.load.delay_ms
+        if self.readiness.update(can_serve, delay_ms, len(self.answer_futures), now):
+            fields = {
+                "ready": self.readiness.is_ready,
+                "overloaded": self.readiness.is_overloaded,
+                "loop_delay_ms": round(delay_ms, 1),
+                "workers_ready": workers_ready,
+                "jobs": len(self.answer_futures),
+            }
+            log.info("readiness changed", extra=fields)
 
     # Callers
 
@@ -149,6 +171,10 @@
         now = self.clock.now()
         if self.stop_started_at is not None and not self.ends_before_stop(request, now):
             return self.refused_outcome(request, Refusal("this entry is about to stop"))
+        slack_ms = job_slack_ms(request, longest_chain_ms(request.steps))
+        if self.answer_futures and self.load.exceeds_share(slack_ms):
+            reason = f"this entry is overloaded: it runs {self.load.delay_ms:.0f} ms late"
+            return self.refused_outcome(request, Refusal(reason))
         result = self.dispatcher.submit(request, now)
         if isinstance(result, Refusal):
             return self.refused_outcome(request, result)
@@ -370,6 +396,8 @@
 
     def tick(self, now):
         """Apply the changes that depend on time alone."""
+        self.load.record_tick(now)
+        self.update_readiness(now)
         self.dispatcher.tick(now)
         self.return_times.observe(self.dispatcher, now)
         self.flush()
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -156,6 +156,19 @@
         assert {ref.job[-2:] for ref in worker.started} == {"a1"}
 
 
+async def test_entry_whose_loop_is_late_refuses_jobs_with_little_slack():
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, _):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: len(worker.running) == 1)
+        entry.load.average_ms = 200.0
+        entry.load.recent_ms.append(200.0)
+        refused = await entry.run_job(make_request("00000000000000b1", ms=100.0))
+        assert refused.state == "refused" and refused.retry_after_ms >= 1000.0
+        assert b"onyxfork_loop_delay_ms" in entry.telemetry.render()[0]
+        job.cancel()
+
+
 async def test_silent_worker_is_reported_and_its_runs_are_lost_with_its_lease():
     worker = StandInWorker()
     async with run_path(worker) as (entry, agent):
