Book returns up to 0.85 of capacity

Cause: with 0.9 the load after the burst of 2,200 callers was within 1.1 of capacity for the seed of the test, but 1.12 for another of five seeds.

Change: TARGET_LOAD 0.85; the test plays three seeds, among them those with the highest peaks.

--- a/onyxfork/direct/return_times.py
+++ b/onyxfork/direct/return_times.py
@@ -31,9 +31,10 @@
 """Time constant with which the estimate of capacity falls to the present use of cores. An entry
 that has lost its workers for a moment can expect most of them back."""
 
-TARGET_LOAD = 0.9
+TARGET_LOAD = 0.85
 """Share of capacity up to which returns are booked beside the demand of new jobs. Arrivals vary
-from second to second; without the rest, a second of more arrivals refuses callers again."""
+from second to second: with 0.9, the load after a burst reached 1.12 of capacity in one of five
+trials."""
 
 MIN_ROOM_SHARE = 0.1
 """Least share of capacity that is booked for returning callers. With new jobs at capacity, the load
--- a/tests/direct/test_return_times.py
+++ b/tests/direct/test_return_times.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 from random import Random
 
+import pytest
+
 sys.path.insert(0, str(Path(__file__).parent))
 from fleet import TASK_CORES, TASKS_PER_WORKER, Fleet  # noqa: E402
 
@@ -47,10 +49,10 @@
             times.observe(self.entries[name], self.now)
 
 
-def play_burst(returns, seconds=36.0, burst=2200):
+def play_burst(returns, seed, seconds=36.0, burst=2200):
     """Play 0.5 of capacity for some time and a burst of many callers in the third second."""
     fleet = ReturningFleet(2, 8, zones=2, returns=returns)
-    rng = Random(5)
+    rng = Random(seed)
     jobs_per_s = 8 * TASKS_PER_WORKER / (RUN_MS / 1000)
     arrivals = [rng.uniform(0.0, seconds) for _ in range(round(0.5 * jobs_per_s * seconds))]
     arrivals += [2.0 + rng.random() * BURST_S for _ in range(burst)]
@@ -65,9 +67,10 @@
     return max(Counter(int(time / window_s) for time in times).values()) / window_s
 
 
-def test_callers_refused_in_one_second_do_not_return_as_a_second_peak():
+@pytest.mark.parametrize("seed", [1, 4, 5])
+def test_callers_refused_in_one_second_do_not_return_as_a_second_peak(seed):
     """2,000 callers that return after one second each are refused a second time together."""
-    fleet, jobs_per_s = play_burst(returns=True)
+    fleet, jobs_per_s = play_burst(returns=True, seed=seed)
     assert len(fleet.returned) >= 1900
     later = [time for time in fleet.sent if time >= 3.5]
     assert peak(later, 1.0) <= 1.1 * jobs_per_s
