--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -8,6 +8,7 @@
 from onyxfork.direct.answer_log import answer_log_fields
 from onyxfork.direct.dispatcher import Dispatcher
 from onyxfork.direct.documents import decompress_document
+from onyxfork.direct.entry_load import EntryLoad, Readiness, job_slack_ms
 from onyxfork.direct.jobs import longest_chain_ms
 from onyxfork.direct.links import ControlLinks, Dialer
 from onyxfork.direct.messages import (
@@ -24,7 +25,9 @@
     WorkerStatus,
     share_specs,
 )
+from onyxfork.direct.placement import can_ever_run
 from onyxfork.direct.requests import REFUSED, JobOutcome
+from onyxfork.direct.return_times import ReturnTimes, job_work
 from onyxfork.errors import ProtocolError
 from onyxfork.messages import serve
 from onyxfork.utils import logged_failures, owned_tasks
@@ -85,6 +88,12 @@
         Address and dialer task by agent.
     answer_futures : dict of Job to asyncio.Future
         Futures that receive the outcomes of jobs.
+    load : EntryLoad
+        The delay of this process's event loop.
+    readiness : Readiness
+        What the load balancer is told, unless the process stops.
+    return_times : ReturnTimes
+        When refused callers return.
     subset_review_at : float
         Monotonic seconds of the next `review_subset`.
     stop_started_at : float or None
@@ -98,6 +107,9 @@
         self.clock = clock
         self.telemetry = telemetry
         self.dispatcher = Dispatcher(clock.now(), zone=settings.zone)
+        self.load = EntryLoad(clock.now(), TICK_S)
+        self.readiness = Readiness()
+        self.return_times = ReturnTimes(clock.now(), self.dispatcher.rng)
         self.configured = asyncio.Event()
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
         self.control.directory_listeners.append(self.update_agent_dialers)
@@ -111,6 +123,7 @@
         self.subset_review_at = clock.now()
         self.spawn = None
         telemetry.gauge("jobs_inside", lambda: len(self.dispatcher.jobs))
+        telemetry.gauge("loop_delay_ms", lambda: round(self.load.delay_ms, 1))
         telemetry.gauge("tasks_waiting", lambda: len(self.dispatcher.waiting_tasks))
 
     def hello(self):
@@ -120,8 +133,22 @@
     @property
     def is_ready(self):
         """Whether the load balancer may send new connections here."""
-        ready = any(view.is_ready for view in self.dispatcher.workers.values())
-        return self.stop_started_at is None and self.control.document is not None and ready
+        return self.stop_started_at is None and self.readiness.is_ready
+
+    def update_readiness(self, now):
+        """Update what the load balancer is told from configuration, workers and own delay."""
+        workers_ready = sum(view.is_ready for view in self.dispatcher.workers.values())
+        can_serve = self.control.document is not None and workers_ready > 0
+        delay_ms = self.load.delay_ms
+        if self.readiness.update(can_serve, delay_ms, len(self.answer_futures), now):
+            fields = {
+                "ready": self.readiness.is_ready,
+                "overloaded": self.readiness.is_overloaded,
+                "loop_delay_ms": round(delay_ms, 1),
+                "workers_ready": workers_ready,
+                "jobs": len(self.answer_futures),
+            }
+            log.info("readiness changed", extra=fields)
 
     # Callers
 
@@ -147,11 +174,16 @@
         now = self.clock.now()
         if self.stop_started_at is not None and not self.ends_before_stop(request, now):
             return self.refused_outcome(request, Refusal("this entry is about to stop"))
+        slack_ms = job_slack_ms(request, longest_chain_ms(request.steps))
+        if self.answer_futures and self.load.exceeds_share(slack_ms):
+            reason = f"this entry is overloaded: it runs {self.load.delay_ms:.0f} ms late"
+            return self.refused_outcome(request, Refusal(reason))
         result = self.dispatcher.submit(request, now)
         if isinstance(result, Refusal):
             return self.refused_outcome(request, result)
         future = asyncio.get_running_loop().create_future()
         self.answer_futures[result] = future
+        self.return_times.record_accepted(request.queue.priority, job_work(request))
         fields = {"slack_ms": round((min(map(result.latest_start, result.tasks)) - now) * 1000)}
         log.info("job accepted", extra={**self.admission_log_fields(request), **fields})
         self.flush()
@@ -172,17 +204,32 @@
 
     def refused_outcome(self, request, refusal):
         """Log and count the refusal of a job; return it as a `JobOutcome`."""
+        delay_ms = self.return_delay_ms(request, refusal.retry_after_ms)
         fields = {
             "outcome": REFUSED,
             "reason": refusal.reason,
-            "retry_after_ms": round(refusal.retry_after_ms),
+            "retry_after_ms": round(delay_ms),
             "first_start_ms": None,
             "last_end_ms": None,
             "runs": 0,
         }
         log.info("job refused", extra={**self.admission_log_fields(request), **fields})
         self.telemetry.count("jobs", queue=request.queue.name, state=REFUSED)
-        return JobOutcome(REFUSED, refusal.reason, refusal.retry_after_ms)
+        return JobOutcome(REFUSED, refusal.reason, delay_ms)
+
+    def return_delay_ms(self, request, min_delay_ms):
+        """Return the delay after which the caller of a refused job should return.
+
+        Only jobs that wait for capacity here book it: a job that fits no worker would keep others
+        from it, and the caller of an entry that is stopping can try another one.
+        """
+        steps, service = request.steps, request.queue.service
+        views = self.dispatcher.workers.values()
+        fits = not views or all(can_ever_run(step, service, views) for step in steps)
+        if self.stop_started_at is not None or request.job in self.dispatcher.jobs or not fits:
+            return min_delay_ms
+        now, priority = self.clock.now(), request.queue.priority
+        return self.return_times.book(priority, job_work(request), min_delay_ms, now)
 
     def admission_log_fields(self, request):
         """Return log fields with the state on which the admission of a job depends.
@@ -339,6 +386,8 @@
         """Log and count a job's outcome and pass it to the caller."""
         now = self.clock.now()
         outcome, queue = job.outcome, job.request.queue.name
+        if outcome.state == REFUSED:
+            outcome.retry_after_ms = self.return_delay_ms(job.request, outcome.retry_after_ms)
         elapsed_ms = (now - job.arrived_at) * 1000
         placed = job.first_placed_at
         fields = {
@@ -372,7 +421,10 @@
 
     def tick(self, now):
         """Apply the changes that depend on time alone."""
+        self.load.record_tick(now)
+        self.update_readiness(now)
         self.dispatcher.tick(now)
+        self.return_times.observe(self.dispatcher, now)
         self.flush()
         if now >= self.subset_review_at:
             self.subset_review_at = now + SUBSET_INTERVAL_S
