Remove the announced stay of leaving workers, which no decision uses

Cause: an agent reported how long a worker that leaves stays, and nothing read it; a worker that drains gets no task as before.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -214,7 +214,6 @@
                 worker.state = "draining"
             if not same_lifetime:
                 self.on_lifetime_lost("a new lifetime of the worker has begun", now)
-        worker.reported_at = now
         self.worker = worker
         self.cpu_limit = worker.cpu
         self.cold_until = now + worker.cold_left_ms / 1000
@@ -524,13 +523,6 @@
         """
         return max(0.0, self.cold_until - now) * 1000 if self.restored else 0.0
 
-    def leaves_in_ms(self, now):
-        """Return how long the worker stays at least, -1 if it has not announced that it leaves."""
-        worker = self.worker
-        if worker is None or worker.drain_remaining_ms < 0:
-            return -1.0
-        return max(0.0, worker.drain_remaining_ms - (now - worker.reported_at) * 1000)
-
     def status(self, session, now):
         """Return the status report for one entry."""
         worker = self.worker
@@ -553,5 +545,4 @@
             cold_left_ms=self.cold_left_ms(now),
             cpu_by_priority=list(self.cpu_by_priority),
             usual_run_time_ratio=self.usual_speed.ratio,
-            leaves_in_ms=self.leaves_in_ms(now),
         )
--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -249,8 +249,6 @@
         the index is the priority. Empty in reports of agents that do not state it.
     usual_run_time_ratio : float
         Average of run time over estimate in this lifetime of the worker, over some hundred runs.
-    leaves_in_ms : float
-        How long a worker that is leaving stays at least; negative if it has not announced that.
     """
 
     worker: str
@@ -270,7 +268,6 @@
     cold_left_ms: float = 0.0
     cpu_by_priority: list[int] = field(factory=list)
     usual_run_time_ratio: float = 1.0
-    leaves_in_ms: float = -1
 
 
 @message(140)
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -113,13 +113,8 @@
     labels : list of str
     sequence : int
         Sequence number of the latest report.
-    cold_left_ms : int
+    cold_left_ms : float
         How long the worker remains slow because it is cold, at the time of the report.
-    drain_remaining_ms : float
-        How long the worker stays at least after the latest report; negative if it hasn't announced
-        that it leaves.
-    reported_at : float
-        When the latest report arrived.
     """
 
     id: str
@@ -131,9 +126,7 @@
     gpu: int
     labels: list = field(factory=list)
     sequence: int = 0
-    cold_left_ms: int = 0
-    drain_remaining_ms: float = -1.0
-    reported_at: float = 0.0
+    cold_left_ms: float = 0.0
 
 
 @define(eq=False)
--- a/onyxfork/platform/reports.py
+++ b/onyxfork/platform/reports.py
@@ -44,7 +44,6 @@
     labels = read_list(data, "labels", [])
     if not all(isinstance(label, str) for label in labels):
         raise FieldError("labels: expected a list of strings")
-    announces_leave = state == "draining" and data.get("drainRemainingMs") is not None
     return Worker(
         id=worker_id,
         # born: start of the worker's lifetime in milliseconds, by the worker's clock.
@@ -56,8 +55,7 @@
         gpu=read_integer(capacity, "gpu", 0),
         labels=labels,
         sequence=read_integer(data, "seq", 0),
-        cold_left_ms=read_integer(data, "coldLeftMs", 0),
-        drain_remaining_ms=read_number(data, "drainRemainingMs") if announces_leave else -1.0,
+        cold_left_ms=read_number(data, "coldLeftMs", 0),
     )
 
 
