Repeat an order to start only while its run may still start

Cause: repeats, and the second order after a refused fencing token, skipped the checks that guard the first order. A repeat could start a task in a zone that was evacuated meanwhile, or a run that was withdrawn or had ended.

Change: before each repeat the run must still be starting, without a reason to stop, in a zone that is not evacuated and in a session that is not stale. Otherwise the order ends as unanswered and the run is stopped.

--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -7,7 +7,7 @@
 import logging
 
 from onyxfork.direct.lease import WorkerClock
-from onyxfork.direct.runs import EVACUATED
+from onyxfork.direct.runs import EVACUATED, STARTING
 from onyxfork.utils import logged_failures
 
 __all__ = ["WorkerDriver", "task_name"]
@@ -239,14 +239,14 @@
         self.apply_decisions()
 
     async def send_start_repeatedly(self, worker, run):
-        """Send an order to start, and repeat it while it is not answered.
+        """Send an order to start, and repeat it while it is not answered and may be repeated.
 
         A refusal of a repeated order counts as no answer: the order before it may have started the
         run, or may still do so, and has to be stopped.
         """
         answer = await self.send_start(worker, run)
         for _ in range(MAX_START_REPEATS):
-            if answer != "unanswered" or not self.is_current_lifetime(worker):
+            if answer != "unanswered" or not self.may_repeat_start(worker, run):
                 break
             answer = await self.send_start(worker, run)
             if answer != "started":
@@ -256,6 +256,9 @@
     async def send_start(self, worker, run):
         """Send an order to start, and once more if the worker refuses its fencing token.
 
+        The answer is ``unanswered`` if the second order may not be sent any more: an earlier order
+        may have started the run, so it is stopped rather than returned.
+
         The lease is counted from the decision to start the run, so that the worker refuses an order
         that is delayed for longer.
         """
@@ -276,8 +279,26 @@
             if reply.answer != "fence":
                 return "started" if reply.answer == "ok" else reply.answer
             self.token.on_refused(token)
+            if not self.may_repeat_start(worker, run):
+                return "unanswered"
         return "fence"
 
+    def may_repeat_start(self, worker, run):
+        """Return whether a run may still start after an order that did not settle it.
+
+        While the order was open, the zone may have been evacuated, the run recalled or withdrawn,
+        or its entry may have disconnected and placed the task elsewhere.
+        """
+        arbiter = self.arbiter
+        return (
+            self.is_current_lifetime(worker)
+            and arbiter.runs.get(run.key) is run
+            and run.state == STARTING
+            and not run.reason
+            and not arbiter.evacuated
+            and not arbiter.is_session_stale(run.session, self.clock.now())
+        )
+
     async def stop_run(self, run):
         """Stop a run at the worker and report the outcome to the arbiter."""
         await self.send_stop(run.order.ref)
--- a/tests/direct/test_list_polls.py
+++ b/tests/direct/test_list_polls.py
@@ -29,6 +29,8 @@
         self.start_answers_lost = 0
         self.start_orders = 0
         self.repeat_answer = None
+        self.start_refusals = 0
+        self.on_start_order = None
         self.timeouts_s = []
 
     async def renew_lease(self, worker, until_ms, token, last_end, wait_ms, fresh, timeout_s):
@@ -43,6 +45,10 @@
 
     async def start(self, worker, order, until_ms, token, timeout_s):
         self.start_orders += 1
+        if self.on_start_order is not None:
+            self.on_start_order(order)
+        if self.start_orders <= self.start_refusals:
+            return Reply("fence", 1000)
         if self.start_orders > 1 and self.repeat_answer is not None:
             return self.repeat_answer
         if order.ref not in self.running:
@@ -73,6 +79,51 @@
         job.cancel()
 
 
+def evacuate(agent, run):
+    agent.arbiter.set_evacuated(True, agent.clock.now())
+
+
+def withdraw(agent, run):
+    agent.arbiter.withdraw(run.session, [run.order.ref], agent.clock.now())
+
+
+def make_stale(agent, run):
+    run.session.latest_agent_clock = agent.clock.now() - 10
+
+
+def lose_run(agent, run):
+    agent.arbiter.finish(run, "lost", agent.clock.now(), "lease expired")
+
+
+@pytest.mark.parametrize("change", [evacuate, withdraw, make_stale, lose_run])
+@pytest.mark.parametrize("answer", ["unanswered", "fence"])
+async def test_order_is_not_repeated_once_its_run_may_not_start(change, answer):
+    """Guards against a start in an evacuated zone, or of a run that its entry placed elsewhere."""
+    worker = LossyWorker()
+    worker.start_answers_lost = 1 if answer == "unanswered" else 0
+    worker.start_refusals = 1 if answer == "fence" else 0
+    async with run_path(worker) as (entry, agent):
+        orders, answers = [], []
+        on_start_reply = agent.arbiter.on_start_reply
+
+        def record_start_order(order):
+            orders.append(order.ref)
+            if len(orders) == 1:
+                change(agent, agent.arbiter.runs[order.ref.key])
+
+        def record_start_reply(run, kind, now):
+            answers.append((run.order.ref, kind))
+            on_start_reply(run, kind, now)
+
+        worker.on_start_order = record_start_order
+        agent.arbiter.on_start_reply = record_start_reply
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: answers)
+        assert orders.count(orders[0]) == 1
+        assert answers[0] == (orders[0], "unanswered")
+        job.cancel()
+
+
 async def test_second_poll_is_open_only_while_calls_are_lost():
     worker = LossyWorker()
     async with run_path(worker) as (entry, agent):
