Pause after requests for the lists that fail at once

Cause: an answer with status 500 or an undecodable body counts as unanswered without a lost connection. keep_lease and watch_lists took it for a request that had used up its timeout and repeated it without a pause.

Change: LeaseReply.timed_out tells whether the time allowed was used up or the request was given up.

--- a/onyxfork/direct/list_polls.py
+++ b/onyxfork/direct/list_polls.py
@@ -96,6 +96,7 @@
         if reply.answer == "ok":
             self.on_answered(reply, now - sent_at - wait_ms / 1000)
         elif reply.answer == "unanswered" and not reply.connection_lost:
+            reply.timed_out = poll.overtaken.is_set() or now - sent_at >= timeout_s
             self.on_call_lost(now)
             if not poll.overtaken.is_set():
                 self.times.record_timeout()
--- a/onyxfork/direct/worker_client.py
+++ b/onyxfork/direct/worker_client.py
@@ -45,12 +45,16 @@
         Ended runs with their outcomes.
     last_end : int
         Sequence number of the latest run in `ended_runs`.
+    timed_out : bool
+        Whether there was no answer within the time allowed, or until the request was given up. Set
+        by :class:`onyxfork.direct.list_polls.ListPolls`.
     """
 
     started_ms: int = 0
     running: dict = field(factory=dict)
     ended_runs: list = field(factory=list)
     last_end: int = 0
+    timed_out: bool = field(default=False, kw_only=True)
 
 
 class WorkerClient(ABC):
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -29,8 +29,8 @@
 loses one call in twenty misses two renewals in a row every few seconds, yet it runs its tasks."""
 
 RETRY_DELAY_S = 0.05
-"""Pause after a renewal that was refused or whose connection failed, and unit of the pause after an
-unanswered order to stop."""
+"""Pause after a request for the lists that failed before its timeout, and unit of the pause after
+an unanswered order to stop."""
 
 WATCH_REVIEW_S = 0.05
 """Interval at which `watch_lists` checks whether a second poll is needed."""
@@ -135,7 +135,7 @@
             worker, None, self.token.value, self.last_end, wait_ms
         )
         if reply.answer != "ok" or not self.is_current_lifetime(worker):
-            return RETRY_DELAY_S if reply.connection_lost or reply.answer != "unanswered" else 0.0
+            return retry_delay_s(reply)
         if reply.started_ms <= worker.started_ms:
             self.on_renewal_answered(self.clock.now())
             self.apply_lists(reply, asked_at, self.clock.now())
@@ -163,7 +163,7 @@
             return 0.0
         if reply.answer != "ok":
             self.on_failed_renewal(reply, token, sent_at, now)
-            return RETRY_DELAY_S if reply.connection_lost or reply.answer != "unanswered" else 0.0
+            return retry_delay_s(reply)
         # The worker may delay its answer; it reads its clock just before it answers.
         self.worker_clock.update(reply.clock_ms, max(sent_at, now - 0.002), now)
         if reply.started_ms > worker.started_ms:
@@ -334,6 +334,14 @@
         log.warning("order to stop not acknowledged", extra={"task": task_name(ref)})
 
 
+def retry_delay_s(reply):
+    """Return the pause in seconds after a failed `LeaseReply`.
+
+    A worker may refuse every request, break every connection or answer with an error at once.
+    """
+    return 0.0 if reply.timed_out else RETRY_DELAY_S
+
+
 def task_name(ref):
     """Return the name of a task for log lines."""
     return f"{ref.job}.{ref.step}.{ref.index}"
--- a/tests/direct/test_list_polls.py
+++ b/tests/direct/test_list_polls.py
@@ -16,6 +16,11 @@
 
 from onyxfork.direct.list_polls import LOSSY_PERIOD_S, ListPolls  # noqa: E402
 from onyxfork.direct.worker_client import LeaseReply, Reply  # noqa: E402
+from onyxfork.direct.worker_driver import (  # noqa: E402
+    RETRY_DELAY_S,
+    WATCH_REVIEW_S,
+    retry_delay_s,
+)
 from onyxfork.utils import SystemClock  # noqa: E402
 
 
@@ -32,10 +37,13 @@
         self.start_refusals = 0
         self.on_start_order = None
         self.timeouts_s = []
+        self.poll_error = None
 
     async def renew_lease(self, worker, until_ms, token, last_end, wait_ms, fresh, timeout_s):
         self.polls += 1
         self.timeouts_s.append(timeout_s)
+        if self.poll_error is not None:
+            return LeaseReply(self.poll_error)
         if wait_ms and self.polls <= self.polls_lost_until:
             await asyncio.sleep(timeout_s)
             return LeaseReply("unanswered")
@@ -151,6 +159,34 @@
         job.cancel()
 
 
+@pytest.mark.parametrize("lossy", [False, True])
+@pytest.mark.parametrize("answer", ["unanswered", "unhealthy"])
+async def test_worker_that_answers_with_errors_at_once_is_not_called_without_pause(lossy, answer):
+    """Guards against a busy loop while a worker answers with status 500 or an undecodable body."""
+    worker = LossyWorker()
+    async with run_path(worker) as (entry, agent):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: worker.running)
+        worker.poll_error = answer
+        if lossy:
+            agent.list_polls.on_call_lost(agent.clock.now())
+            await asyncio.sleep(2 * WATCH_REVIEW_S)
+        polls_before = worker.polls
+        await asyncio.sleep(0.3)
+        assert worker.polls - polls_before <= 2 * 0.3 / RETRY_DELAY_S
+        job.cancel()
+
+
+async def test_poll_that_used_up_its_timeout_is_repeated_at_once():
+    class SilentClient:
+        async def renew_lease(self, *arguments):
+            await asyncio.sleep(arguments[-1])
+            return LeaseReply("unanswered")
+
+    reply = await ListPolls(SilentClient(), SystemClock()).request(make_worker(), None, 1, 0, 0)
+    assert retry_delay_s(reply) == 0.0
+
+
 class ScriptedClient:
     """Client whose polls are answered by the test."""
 
