--- a/onyxfork/control/raft_replication.py
+++ b/onyxfork/control/raft_replication.py
@@ -246,18 +246,27 @@
                 self.send_append(member, now)
 
     def on_install_snapshot(self, message, now):
-        """Replace the log by the leader's snapshot if that is ahead of the commit index."""
+        """Replace the log by the leader's snapshot if that is ahead of the commit index.
+
+        If the log holds the last entry of the snapshot, the entries after it are kept: this replica
+        may have acknowledged them, and the leader may count it for their commitment. They are
+        written again, because the log file is replaced with the snapshot.
+        """
         if message.term < self.term:
             self.reply_append(message, False, 0)
             return
         self.accept_leader(message, now)
         if message.index > self.commit:
-            self.log.reset(message.index, message.entry_term)
+            if self.log.term_at(message.index) == message.entry_term:
+                self.log.compact(message.index)
+            else:
+                self.log.reset(message.index, message.entry_term)
             self.commit = self.delivered_index = self.durable_index = message.index
             self.base_members = message.members
             self.refresh_members()
             self.ready.snapshot = message
-            self.ready.entries, self.ready.first_index = [], None
+            self.ready.entries = list(self.log.entries)
+            self.ready.first_index = message.index + 1 if self.log.entries else None
             self.ready.committed = []
         self.reply_append(message, True, max(message.index, self.commit))
 
