--- a/onyxfork/direct/list_polls.py
+++ b/onyxfork/direct/list_polls.py
@@ -1,8 +1,9 @@
 """Long polls of an agent for its worker's lists of runs, some of which may stay unanswered.
 
 A worker may leave calls unanswered and carry them out later. Until a poll times out, the ends of
-runs are not known, so the timeout follows the measured answer times. An answer with an end that
-another open poll should have been answered with, too, shows that the other poll is lost.
+runs are not known, so while calls are lost the timeout follows the measured answer times. An answer
+with an end that another open poll should have been answered with, too, shows that the other poll is
+overdue; it is given up, but it does not count as lost, because it may only have been overtaken.
 """
 
 import asyncio
@@ -18,6 +19,10 @@
 LOSSY_PERIOD_S = 5.0
 """How long after an unanswered call a second poll is kept open."""
 
+CALM_SLACK_S = 0.2
+"""How long after the requested wait a poll times out while no call was lost recently. It leaves
+room for a machine that is busy for a moment, whose late answers would otherwise count as lost."""
+
 OVERTAKEN_GRACE_S = 0.01
 """How long a poll may stay open after another one was answered with an end that it waits for;
 answers on different connections may overtake each other."""
@@ -50,7 +55,7 @@
     Attributes
     ----------
     times : AnswerTimes
-        How much later than requested the worker answers.
+        How much later than requested the worker answers; sets the timeout while calls are lost.
     open_polls : set of Poll
     lost_at : float
         Monotonic seconds of the latest call that was not answered.
@@ -81,10 +86,11 @@
         Returns
         -------
         LeaseReply
-            ``unanswered`` also if another poll has shown that the answer is lost.
+            ``unanswered`` also if another poll has shown that the answer is overdue.
         """
         sent_at = self.clock.now()
-        timeout_s = wait_ms / 1000 + self.times.timeout_s
+        slack_s = self.times.timeout_s if self.is_lossy(sent_at) else CALM_SLACK_S
+        timeout_s = wait_ms / 1000 + slack_s
         with self.open_poll(last_end) as poll:
             call = asyncio.ensure_future(
                 self.client.renew_lease(
@@ -95,11 +101,10 @@
         now = self.clock.now()
         if reply.answer == "ok":
             self.on_answered(reply, now - sent_at - wait_ms / 1000)
-        elif reply.answer == "unanswered" and not reply.connection_lost:
-            reply.timed_out = poll.overtaken.is_set() or now - sent_at >= timeout_s
+        elif reply.answer == "unanswered" and not (reply.connection_lost or reply.timed_out):
+            reply.timed_out = now - sent_at >= timeout_s
             self.on_call_lost(now)
-            if not poll.overtaken.is_set():
-                self.times.record_timeout()
+            self.times.record_timeout()
         return reply
 
     @contextmanager
@@ -132,14 +137,14 @@
 
 
 async def first_result(call, overtaken):
-    """Return the result of a call, or an unanswered reply if `overtaken` is set before.
+    """Return the result of a call, or a reply that has timed out if `overtaken` is set before.
 
     The call is cancelled when it is not needed any more.
     """
     waiter = asyncio.ensure_future(overtaken.wait())
     try:
         await asyncio.wait({call, waiter}, return_when=asyncio.FIRST_COMPLETED)
-        return call.result() if call.done() else LeaseReply("unanswered")
+        return call.result() if call.done() else LeaseReply("unanswered", timed_out=True)
     finally:
         waiter.cancel()
         call.cancel()
