Report a worker that refuses renewals as suspect at the second refusal

Cause: MIN_SUSPECT_SILENCE_S applied to every failed renewal whose connection stayed open, so also to refusals (unhealthy, other-lifetime).

Change: it applies to unanswered renewals alone.

Result: the two refusal cases of test_worker_that_refuses_renewals_is_suspect_at_the_second_refusal failed before the change and pass with it; the unanswered case passed before and after.

--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -26,7 +26,8 @@
 
 MIN_SUSPECT_SILENCE_S = 0.5
 """A worker whose connections stay open is suspect only after this long without an answer. One that
-loses one call in twenty misses two renewals in a row every few seconds, yet it runs its tasks."""
+loses one call in twenty misses two renewals in a row every few seconds, yet it runs its tasks. A
+worker that refuses renewals is suspect without this delay."""
 
 RETRY_DELAY_S = 0.05
 """Pause after a request for the lists that failed before its timeout, and unit of the pause after
@@ -184,9 +185,9 @@
             return
         self.missed_renewals += 1
         self.arbiter.on_renewal_missed(now if reply.connection_lost else sent_at, now)
-        if self.missed_renewals >= SUSPECT_MISSED_RENEWALS and (
-            reply.connection_lost or now - self.arbiter.last_answer_at >= MIN_SUSPECT_SILENCE_S
-        ):
+        may_be_lossy = reply.answer == "unanswered" and not reply.connection_lost
+        is_silent = now - self.arbiter.last_answer_at >= MIN_SUSPECT_SILENCE_S
+        if self.missed_renewals >= SUSPECT_MISSED_RENEWALS and (is_silent or not may_be_lossy):
             if self.arbiter.responsive:
                 log.warning("worker does not answer", extra={"answer": reply.answer})
             self.arbiter.set_responsive(False, now)
--- a/tests/direct/test_list_polls.py
+++ b/tests/direct/test_list_polls.py
@@ -17,7 +17,9 @@
 from onyxfork.direct.list_polls import LOSSY_PERIOD_S, ListPolls  # noqa: E402
 from onyxfork.direct.worker_client import LeaseReply, Reply  # noqa: E402
 from onyxfork.direct.worker_driver import (  # noqa: E402
+    MIN_SUSPECT_SILENCE_S,
     RETRY_DELAY_S,
+    SUSPECT_MISSED_RENEWALS,
     WATCH_REVIEW_S,
     retry_delay_s,
 )
@@ -177,6 +179,20 @@
         job.cancel()
 
 
+@pytest.mark.parametrize(
+    "answer, suspect", [("unhealthy", True), ("other-lifetime", True), ("unanswered", False)]
+)
+async def test_worker_that_refuses_renewals_is_suspect_at_the_second_refusal(answer, suspect):
+    """Guards against queued runs that wait at a worker that has said that it takes none."""
+    worker = LossyWorker()
+    async with run_path(worker) as (entry, agent):
+        await asyncio.sleep(0.05)
+        worker.poll_error = answer
+        await until(lambda: agent.missed_renewals >= SUSPECT_MISSED_RENEWALS)
+        assert agent.clock.now() - agent.arbiter.last_answer_at < MIN_SUSPECT_SILENCE_S
+        assert agent.arbiter.responsive != suspect
+
+
 async def test_poll_that_used_up_its_timeout_is_repeated_at_once():
     class SilentClient:
         async def renew_lease(self, *arguments):
