Count lost polls, starts and stops in worker_calls_lost

Cause: the metric was a gauge over polls and starts, without stops, and starts whose connection broke counted too.

Change: it is a counter of calls without a valid answer whose connection stayed open, from all three callers. Reply.is_lost names the condition once.

Result: test_lost_polls_starts_and_stops_are_counted failed before the change for open connections and passes with it, also for broken ones.

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -111,8 +111,7 @@
         self.worker_clock = WorkerClock()
         self.lease = Lease(settings.lease_ms)
         self.answer_times = AnswerTimes()
-        self.list_polls = ListPolls(client, clock)
-        telemetry.gauge("worker_calls_lost", lambda: self.list_polls.lost)
+        self.list_polls = ListPolls(client, clock, telemetry)
         self.last_end = 0
         self.missed_renewals = 0
         self.takeover_complete = asyncio.Event()
--- a/onyxfork/direct/list_polls.py
+++ b/onyxfork/direct/list_polls.py
@@ -51,6 +51,7 @@
     ----------
     client : WorkerClient
     clock : Clock
+    telemetry : Telemetry
 
     Attributes
     ----------
@@ -59,26 +60,24 @@
     open_polls : set of Poll
     lost_at : float
         Monotonic seconds of the latest call that was not answered.
-    lost : int
-        Number of calls that were not answered.
     """
 
-    def __init__(self, client, clock):
+    def __init__(self, client, clock, telemetry):
         self.client = client
         self.clock = clock
+        self.telemetry = telemetry
         self.times = AnswerTimes()
         self.open_polls = set()
         self.lost_at = float("-inf")
-        self.lost = 0
 
     def is_lossy(self, now):
         """Return whether the worker has recently left a call unanswered."""
         return now - self.lost_at < LOSSY_PERIOD_S
 
     def on_call_lost(self, now):
-        """Record a call that was not answered in time."""
+        """Record a poll, or an order to start or stop, that was not answered in time."""
         self.lost_at = now
-        self.lost += 1
+        self.telemetry.count("worker_calls_lost")
 
     async def request(self, worker, until_ms, token, last_end, wait_ms, fresh=False):
         """Request the lists; parameters are those of `WorkerClient.renew_lease`.
@@ -101,7 +100,7 @@
         now = self.clock.now()
         if reply.answer == "ok":
             self.on_answered(reply, now - sent_at - wait_ms / 1000)
-        elif reply.answer == "unanswered" and not (reply.connection_lost or reply.timed_out):
+        elif reply.is_lost and not reply.timed_out:
             reply.timed_out = now - sent_at >= timeout_s
             self.on_call_lost(now)
             self.times.record_timeout()
--- a/onyxfork/direct/worker_client.py
+++ b/onyxfork/direct/worker_client.py
@@ -30,6 +30,11 @@
     clock_ms: int | None = None
     connection_lost: bool = field(default=False, kw_only=True)
 
+    @property
+    def is_lost(self):
+        """Whether there was no valid answer although the connection stayed open."""
+        return self.answer == "unanswered" and not self.connection_lost
+
 
 @define(slots=True)
 class LeaseReply(Reply):
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -185,9 +185,8 @@
             return
         self.missed_renewals += 1
         self.arbiter.on_renewal_missed(now if reply.connection_lost else sent_at, now)
-        may_be_lossy = reply.answer == "unanswered" and not reply.connection_lost
         is_silent = now - self.arbiter.last_answer_at >= MIN_SUSPECT_SILENCE_S
-        if self.missed_renewals >= SUSPECT_MISSED_RENEWALS and (is_silent or not may_be_lossy):
+        if self.missed_renewals >= SUSPECT_MISSED_RENEWALS and (is_silent or not reply.is_lost):
             if self.arbiter.responsive:
                 log.warning("worker does not answer", extra={"answer": reply.answer})
             self.arbiter.set_responsive(False, now)
@@ -272,9 +271,10 @@
             reply = await self.client.start(worker, run.order, until_ms, token, timeout_s)
             now = self.clock.now()
             self.worker_clock.update(reply.clock_ms, sent_at, now)
+            if reply.is_lost:
+                self.list_polls.on_call_lost(now)
             if reply.answer == "unanswered":
                 self.answer_times.record_timeout()
-                self.list_polls.on_call_lost(now)
             elif reply.answer != "unsent":
                 self.answer_times.record(now - sent_at)
             if reply.answer != "fence":
@@ -326,6 +326,8 @@
                 return
             token = self.token.value
             reply = await self.client.stop(worker, ref, token, self.answer_times.timeout_s)
+            if reply.is_lost:
+                self.list_polls.on_call_lost(self.clock.now())
             if reply.answer == "fence":
                 self.token.on_refused(token)
             elif reply.answer != "unanswered" and reply.answer != "unhealthy":
--- a/tests/direct/test_list_polls.py
+++ b/tests/direct/test_list_polls.py
@@ -15,6 +15,7 @@
 from test_path import StandInWorker, run_path, until  # noqa: E402
 
 from onyxfork.direct.list_polls import LOSSY_PERIOD_S, ListPolls  # noqa: E402
+from onyxfork.direct.telemetry import Telemetry  # noqa: E402
 from onyxfork.direct.worker_client import LeaseReply, Reply  # noqa: E402
 from onyxfork.direct.worker_driver import (  # noqa: E402
     MIN_SUSPECT_SILENCE_S,
@@ -26,6 +27,14 @@
 from onyxfork.utils import SystemClock  # noqa: E402
 
 
+def make_telemetry():
+    return Telemetry("test", "n", "a")
+
+
+def count_lost(agent):
+    return agent.telemetry.counters["worker_calls_lost", ()]
+
+
 class LossyWorker(StandInWorker):
     """Worker that leaves some polls, and the answers to some starts, unanswered."""
 
@@ -40,12 +49,14 @@
         self.on_start_order = None
         self.timeouts_s = []
         self.poll_error = None
+        self.polls_connection_lost = False
+        self.start_lost = Reply("unanswered")
 
     async def renew_lease(self, worker, until_ms, token, last_end, wait_ms, fresh, timeout_s):
         self.polls += 1
         self.timeouts_s.append(timeout_s)
         if self.poll_error is not None:
-            return LeaseReply(self.poll_error)
+            return LeaseReply(self.poll_error, connection_lost=self.polls_connection_lost)
         if wait_ms and self.polls <= self.polls_lost_until:
             await asyncio.sleep(timeout_s)
             return LeaseReply("unanswered")
@@ -65,7 +76,7 @@
             await super().start(worker, order, until_ms, token, timeout_s)
         if self.start_answers_lost:
             self.start_answers_lost -= 1
-            return Reply("unanswered")
+            return self.start_lost
         return Reply("ok", 1000)
 
 
@@ -193,13 +204,42 @@
         assert agent.arbiter.responsive != suspect
 
 
+@pytest.mark.parametrize("connection_lost", [False, True])
+async def test_lost_polls_starts_and_stops_are_counted(connection_lost):
+    """Guards against a metric that hides lost stops, or takes a worker's crash for lost calls."""
+    lost = Reply("unanswered", connection_lost=connection_lost)
+    worker = LossyWorker()
+    async with run_path(worker) as (entry, agent):
+        stop, worker.start_answers_lost, worker.start_lost = worker.stop, 1, lost
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: worker.running and worker.start_orders == 2)
+        await asyncio.sleep(0.02)
+        assert count_lost(agent) == (not connection_lost)
+        replies = [lost]
+
+        async def lose_first_stop(*arguments):
+            return replies.pop() if replies else await stop(*arguments)
+
+        worker.stop = lose_first_stop
+        job.cancel()
+        await agent.send_stop(worker.started[0])
+        assert worker.stopped and count_lost(agent) == 2 * (not connection_lost)
+        worker.poll_error, worker.polls_connection_lost = "unanswered", connection_lost
+        polls_before = worker.polls
+        await until(lambda: worker.polls >= polls_before + 2)
+        assert (count_lost(agent) > 2) == (not connection_lost)
+        text, _ = agent.telemetry.render()
+        assert connection_lost or b"onyxfork_worker_calls_lost_total" in text
+
+
 async def test_poll_that_used_up_its_timeout_is_repeated_at_once():
     class SilentClient:
         async def renew_lease(self, *arguments):
             await asyncio.sleep(arguments[-1])
             return LeaseReply("unanswered")
 
-    reply = await ListPolls(SilentClient(), SystemClock()).request(make_worker(), None, 1, 0, 0)
+    polls = ListPolls(SilentClient(), SystemClock(), make_telemetry())
+    reply = await polls.request(make_worker(), None, 1, 0, 0)
     assert retry_delay_s(reply) == 0.0
 
 
@@ -214,7 +254,7 @@
             return LeaseReply(next(self.answers))
 
     client, clock = Client(), SystemClock()
-    polls = ListPolls(client, clock)
+    polls = ListPolls(client, clock, make_telemetry())
     for _ in range(4):
         await polls.request(make_worker(), None, 1, 0, 0)
     assert client.timeouts_s[:3] == [0.2, 0.2, 0.2] and client.timeouts_s[3] <= 0.06
@@ -239,7 +279,7 @@
     known_end, answer
 ):
     client = ScriptedClient()
-    polls = ListPolls(client, SystemClock())
+    polls = ListPolls(client, SystemClock(), make_telemetry())
     lost = asyncio.create_task(polls.request(make_worker(), None, 1, known_end, 100))
     other = asyncio.create_task(polls.request(make_worker(), None, 1, 4, 100))
     await until(lambda: len(client.futures) == 2)
