Ignore the running runs of an overtaken list

Cause: of two open polls the older answer may arrive last. Its list names runs that have ended since, which the agent took for runs of an earlier agent: it ordered them to stop, or held back the end of the takeover.

Change: the running runs are ignored if the answer is as of an end below the latest one known. An answer lists all ends after the one that its request named, so without any it is as of that end, not of end 0.

--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -131,20 +131,18 @@
         float
             Seconds.
         """
-        asked_at = self.clock.now()
-        reply = await self.list_polls.request(
-            worker, None, self.token.value, self.last_end, wait_ms
-        )
+        asked_at, known_end = self.clock.now(), self.last_end
+        reply = await self.list_polls.request(worker, None, self.token.value, known_end, wait_ms)
         if reply.answer != "ok" or not self.is_current_lifetime(worker):
             return retry_delay_s(reply)
         if reply.started_ms <= worker.started_ms:
             self.on_renewal_answered(self.clock.now())
-            self.apply_lists(reply, asked_at, self.clock.now())
+            self.apply_lists(reply, known_end, asked_at, self.clock.now())
         return 0.0
 
     async def renew_lease(self, worker):
         """Renew the lease once; return the delay before the next renewal in seconds."""
-        sent_at = self.clock.now()
+        sent_at, known_end = self.clock.now(), self.last_end
         token = self.token.value
         until_ms = None
         # After a missed renewal only the lists are requested. A renewal may reach the worker even
@@ -157,7 +155,7 @@
             wait_ms = RENEWAL_WAIT_MS if self.arbiter.runs else IDLE_RENEWAL_WAIT_MS
         new_connection = self.missed_renewals > 0
         reply = await self.list_polls.request(
-            worker, until_ms, token, self.last_end, wait_ms, new_connection
+            worker, until_ms, token, known_end, wait_ms, new_connection
         )
         now = self.clock.now()
         if not self.is_current_lifetime(worker):
@@ -174,7 +172,7 @@
             return 0.0
         self.on_renewal_answered(now)
         if self.token.on_accepted():
-            self.apply_lists(reply, sent_at, now)
+            self.apply_lists(reply, known_end, sent_at, now)
         return 0.0
 
     def on_failed_renewal(self, reply, token, sent_at, now):
@@ -201,11 +199,27 @@
         self.missed_renewals = 0
         self.arbiter.on_renewal_answered(now)
 
-    def apply_lists(self, reply, asked_at, now):
-        """Apply the worker's lists of ended and running runs, and stop runs of earlier agents."""
+    def apply_lists(self, reply, known_end, asked_at, now):
+        """Apply the worker's lists of ended and running runs, and stop runs of earlier agents.
+
+        The running runs of an answer that a newer one has overtaken are ignored: they may name runs
+        that have ended since, which would be taken for runs of an earlier agent.
+
+        Parameters
+        ----------
+        reply : LeaseReply
+        known_end : int
+            Number of the latest ended run that the request named. The answer lists all later ones,
+            so without any it is as of this end.
+        asked_at, now : float
+        """
+        is_overtaken = max(known_end, reply.last_end) < self.last_end
         if reply.ended_runs:
             self.last_end = max(self.last_end, reply.last_end)
             self.arbiter.apply_ended_runs(reply.ended_runs, now)
+        if is_overtaken:
+            self.apply_decisions()
+            return
         unknown = self.arbiter.apply_running(reply.running, asked_at, now)
         for ref in unknown:
             log.warning(
--- a/tests/direct/test_list_polls.py
+++ b/tests/direct/test_list_polls.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import pytest
+from attrs import evolve
 
 sys.path.insert(0, str(Path(__file__).parent))
 from builders import make_request, make_worker  # noqa: E402
@@ -232,6 +233,38 @@
         assert connection_lost or b"onyxfork_worker_calls_lost_total" in text
 
 
+@pytest.mark.parametrize("known_end, last_end", [(0, 0), (0, 1), (1, 1)])
+async def test_running_runs_of_an_overtaken_answer_are_ignored(known_end, last_end):
+    """Guards against orders to stop runs that have ended, sent because an older list names them."""
+    worker = LossyWorker(run_s=0.02)
+    async with run_path(worker) as (entry, agent):
+        await entry.run_job(make_request(tasks=2, ms=5000.0))
+        await until(lambda: agent.last_end == 2)
+        now = agent.clock.now()
+        ends = worker.ended_runs[known_end:last_end]
+        reply = LeaseReply("ok", 1000, 1, {worker.started[-1]: 50}, ends, last_end if ends else 0)
+        agent.takeover_complete.clear()
+        agent.apply_lists(reply, known_end, now - 0.05, now)
+        assert not agent.takeover_complete.is_set()
+        await asyncio.sleep(0.02)
+        assert not worker.stopped
+
+
+@pytest.mark.parametrize("last_end", [0, 3])
+async def test_running_runs_of_a_current_answer_are_applied(last_end):
+    """An answer without ends lists none after the one that its request named."""
+    worker = LossyWorker(run_s=0.02)
+    async with run_path(worker) as (entry, agent):
+        await entry.run_job(make_request(tasks=2, ms=5000.0))
+        await until(lambda: agent.last_end == 2)
+        unknown = evolve(worker.started[0], job="00000000000000ff")
+        ends = [(worker.started[0], "done")] if last_end else []
+        reply = LeaseReply("ok", 1000, 1, {unknown: 50}, ends, last_end)
+        now = agent.clock.now()
+        agent.apply_lists(reply, 2, now - 0.05, now)
+        await until(lambda: worker.stopped == [unknown])
+
+
 async def test_poll_that_used_up_its_timeout_is_repeated_at_once():
     class SilentClient:
         async def renew_lease(self, *arguments):
