List only open connections in the log of joining

Cause: the field connected named every instance ever connected, because peers keeps closed connections.

Change: connected_peers lists the instances with an open connection, for the log line and for the requests to join.

Result: test_log_of_joining_names_only_open_connections failed before the change and passes with it.

--- a/onyxfork/control/replica_peers.py
+++ b/onyxfork/control/replica_peers.py
@@ -63,6 +63,14 @@
                 return connection
         return None
 
+    def connected_peers(self):
+        """Return the sorted identities of the instances that have an open connection to this one.
+
+        `peers` keeps closed connections until they are replaced.
+        """
+        identities = {*self.peers, *self.accepted_peers}
+        return sorted(name for name in identities if self.connection_to(name) is not None)
+
     @property
     def is_member(self):
         """Whether this replica is a voter or a learner according to its own log."""
@@ -121,10 +129,8 @@
         """Send a `Join` to every connected instance; only the leader acts on it."""
         address = advertised_address(self.settings, self.port)
         message = Join(self.raft.identity, self.settings.node, str(address))
-        for identity in {**self.peers, **self.accepted_peers}:
-            connection = self.connection_to(identity)
-            if connection is not None:
-                connection.send(message)
+        for identity in self.connected_peers():
+            self.connection_to(identity).send(message)
 
     def log_join_state(self, needs_to_join):
         """Log when this instance begins and ceases to ask the others to be added."""
@@ -134,7 +140,7 @@
         fields = {
             "member": self.is_member,
             "leader": self.raft.leader,
-            "connected": sorted({**self.peers, **self.accepted_peers}),
+            "connected": self.connected_peers(),
         }
         log.info("asking to join" if needs_to_join else "joined", extra=fields)
 
--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -7,11 +7,13 @@
 import asyncio
 import sys
 from pathlib import Path
+from random import Random
+from types import SimpleNamespace
 
 import pytest
 
 sys.path.insert(0, str(Path(__file__).parent))
-from replica_network import running_group  # noqa: E402
+from replica_network import Group, running_group  # noqa: E402
 from virtual_loop import run_virtual  # noqa: E402
 
 VOTER_AGAIN_S = 4.0
@@ -267,3 +269,28 @@
 
     with pytest.raises(NoLeader):
         run_virtual(play())
+
+
+def test_log_of_joining_names_only_open_connections(tmp_path, caplog):
+    """Guards against a log that hides why an instance that asks to join is not added."""
+    caplog.set_level("INFO", "onyxfork.control.replica_peers")
+
+    async def play():
+        group = Group(tmp_path, Random(1))
+        await group.start(JOINED)
+        replica = group.replicas[JOINED]
+        states = {"a#0": False, "b#0": True, "c#0": False, "d#0": True}
+        connections = {
+            name: SimpleNamespace(is_open=is_open, send=lambda message: None)
+            for name, is_open in states.items()
+        }
+        # No step of the driver runs between these lines and the log line.
+        replica.peers = {name: connections[name] for name in ("a#0", "b#0", "c#0")}
+        replica.accepted_peers = {"c#0": connections["d#0"], "d#0": connections["d#0"]}
+        replica.is_asking_to_join = False
+        replica.log_join_state(True)
+        await group.kill(JOINED)
+
+    run_virtual(play())
+    lines = [record for record in caplog.records if record.message == "asking to join"]
+    assert lines[-1].connected == ["b#0", "c#0", "d#0"]
