--- a/onyxfork/direct/worker_client.py
+++ b/onyxfork/direct/worker_client.py
@@ -30,6 +30,11 @@
     clock_ms: int | None = None
     connection_lost: bool = field(default=False, kw_only=True)
 
+    @property
+    def is_lost(self):
+        """Whether there was no valid answer although the connection stayed open."""
+        return self.answer == "unanswered" and not self.connection_lost
+
 
 @define(slots=True)
 class LeaseReply(Reply):
@@ -45,12 +50,16 @@
         Ended runs with their outcomes.
     last_end : int
         Sequence number of the latest run in `ended_runs`.
+    timed_out : bool
+        Whether there was no answer within the time allowed, or until the request was given up. Set
+        by :class:`onyxfork.direct.list_polls.ListPolls`.
     """
 
     started_ms: int = 0
     running: dict = field(factory=dict)
     ended_runs: list = field(factory=list)
     last_end: int = 0
+    timed_out: bool = field(default=False, kw_only=True)
 
 
 class WorkerClient(ABC):
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -7,7 +7,7 @@
 import logging
 
 from onyxfork.direct.lease import WorkerClock
-from onyxfork.direct.runs import EVACUATED
+from onyxfork.direct.runs import EVACUATED, STARTING
 from onyxfork.utils import logged_failures
 
 __all__ = ["WorkerDriver", "task_name"]
@@ -26,11 +26,12 @@
 
 MIN_SUSPECT_SILENCE_S = 0.5
 """A worker whose connections stay open is suspect only after this long without an answer. One that
-loses one call in twenty misses two renewals in a row every few seconds, yet it runs its tasks."""
+loses one call in twenty misses two renewals in a row every few seconds, yet it runs its tasks. A
+worker that refuses renewals is suspect without this delay."""
 
 RETRY_DELAY_S = 0.05
-"""Pause after a renewal that was refused or whose connection failed, and unit of the pause after an
-unanswered order to stop."""
+"""Pause after a request for the lists that failed before its timeout, and unit of the pause after
+an unanswered order to stop."""
 
 WATCH_REVIEW_S = 0.05
 """Interval at which `watch_lists` checks whether a second poll is needed."""
@@ -130,20 +131,18 @@
         float
             Seconds.
         """
-        asked_at = self.clock.now()
-        reply = await self.list_polls.request(
-            worker, None, self.token.value, self.last_end, wait_ms
-        )
+        asked_at, known_end = self.clock.now(), self.last_end
+        reply = await self.list_polls.request(worker, None, self.token.value, known_end, wait_ms)
         if reply.answer != "ok" or not self.is_current_lifetime(worker):
-            return RETRY_DELAY_S if reply.connection_lost or reply.answer != "unanswered" else 0.0
+            return retry_delay_s(reply)
         if reply.started_ms <= worker.started_ms:
             self.on_renewal_answered(self.clock.now())
-            self.apply_lists(reply, asked_at, self.clock.now())
+            self.apply_lists(reply, known_end, asked_at, self.clock.now())
         return 0.0
 
     async def renew_lease(self, worker):
         """Renew the lease once; return the delay before the next renewal in seconds."""
-        sent_at = self.clock.now()
+        sent_at, known_end = self.clock.now(), self.last_end
         token = self.token.value
         until_ms = None
         # After a missed renewal only the lists are requested. A renewal may reach the worker even
@@ -156,14 +155,14 @@
             wait_ms = RENEWAL_WAIT_MS if self.arbiter.runs else IDLE_RENEWAL_WAIT_MS
         new_connection = self.missed_renewals > 0
         reply = await self.list_polls.request(
-            worker, until_ms, token, self.last_end, wait_ms, new_connection
+            worker, until_ms, token, known_end, wait_ms, new_connection
         )
         now = self.clock.now()
         if not self.is_current_lifetime(worker):
             return 0.0
         if reply.answer != "ok":
             self.on_failed_renewal(reply, token, sent_at, now)
-            return RETRY_DELAY_S if reply.connection_lost or reply.answer != "unanswered" else 0.0
+            return retry_delay_s(reply)
         # The worker may delay its answer; it reads its clock just before it answers.
         self.worker_clock.update(reply.clock_ms, max(sent_at, now - 0.002), now)
         if reply.started_ms > worker.started_ms:
@@ -173,7 +172,7 @@
             return 0.0
         self.on_renewal_answered(now)
         if self.token.on_accepted():
-            self.apply_lists(reply, sent_at, now)
+            self.apply_lists(reply, known_end, sent_at, now)
         return 0.0
 
     def on_failed_renewal(self, reply, token, sent_at, now):
@@ -184,9 +183,8 @@
             return
         self.missed_renewals += 1
         self.arbiter.on_renewal_missed(now if reply.connection_lost else sent_at, now)
-        if self.missed_renewals >= SUSPECT_MISSED_RENEWALS and (
-            reply.connection_lost or now - self.arbiter.last_answer_at >= MIN_SUSPECT_SILENCE_S
-        ):
+        is_silent = now - self.arbiter.last_answer_at >= MIN_SUSPECT_SILENCE_S
+        if self.missed_renewals >= SUSPECT_MISSED_RENEWALS and (is_silent or not reply.is_lost):
             if self.arbiter.responsive:
                 log.warning("worker does not answer", extra={"answer": reply.answer})
             self.arbiter.set_responsive(False, now)
@@ -201,11 +199,27 @@
         self.missed_renewals = 0
         self.arbiter.on_renewal_answered(now)
 
-    def apply_lists(self, reply, asked_at, now):
-        """Apply the worker's lists of ended and running runs, and stop runs of earlier agents."""
+    def apply_lists(self, reply, known_end, asked_at, now):
+        """Apply the worker's lists of ended and running runs, and stop runs of earlier agents.
+
+        The running runs of an answer that a newer one has overtaken are ignored: they may name runs
+        that have ended since, which would be taken for runs of an earlier agent.
+
+        Parameters
+        ----------
+        reply : LeaseReply
+        known_end : int
+            Number of the latest ended run that the request named. The answer lists all later ones,
+            so without any it is as of this end.
+        asked_at, now : float
+        """
+        is_overtaken = max(known_end, reply.last_end) < self.last_end
         if reply.ended_runs:
             self.last_end = max(self.last_end, reply.last_end)
             self.arbiter.apply_ended_runs(reply.ended_runs, now)
+        if is_overtaken:
+            self.apply_decisions()
+            return
         unknown = self.arbiter.apply_running(reply.running, asked_at, now)
         for ref in unknown:
             log.warning(
@@ -239,14 +253,14 @@
         self.apply_decisions()
 
     async def send_start_repeatedly(self, worker, run):
-        """Send an order to start, and repeat it while it is not answered.
+        """Send an order to start, and repeat it while it is not answered and may be repeated.
 
         A refusal of a repeated order counts as no answer: the order before it may have started the
         run, or may still do so, and has to be stopped.
         """
         answer = await self.send_start(worker, run)
         for _ in range(MAX_START_REPEATS):
-            if answer != "unanswered" or not self.is_current_lifetime(worker):
+            if answer != "unanswered" or not self.may_repeat_start(worker, run):
                 break
             answer = await self.send_start(worker, run)
             if answer != "started":
@@ -256,6 +270,9 @@
     async def send_start(self, worker, run):
         """Send an order to start, and once more if the worker refuses its fencing token.
 
+        The answer is ``unanswered`` if the second order may not be sent any more: an earlier order
+        may have started the run, so it is stopped rather than returned.
+
         The lease is counted from the decision to start the run, so that the worker refuses an order
         that is delayed for longer.
         """
@@ -268,16 +285,35 @@
             reply = await self.client.start(worker, run.order, until_ms, token, timeout_s)
             now = self.clock.now()
             self.worker_clock.update(reply.clock_ms, sent_at, now)
+            if reply.is_lost:
+                self.list_polls.on_call_lost(now)
             if reply.answer == "unanswered":
                 self.answer_times.record_timeout()
-                self.list_polls.on_call_lost(now)
             elif reply.answer != "unsent":
                 self.answer_times.record(now - sent_at)
             if reply.answer != "fence":
                 return "started" if reply.answer == "ok" else reply.answer
             self.token.on_refused(token)
+            if not self.may_repeat_start(worker, run):
+                return "unanswered"
         return "fence"
 
+    def may_repeat_start(self, worker, run):
+        """Return whether a run may still start after an order that did not settle it.
+
+        While the order was open, the zone may have been evacuated, the run recalled or withdrawn,
+        or its entry may have disconnected and placed the task elsewhere.
+        """
+        arbiter = self.arbiter
+        return (
+            self.is_current_lifetime(worker)
+            and arbiter.runs.get(run.key) is run
+            and run.state == STARTING
+            and not run.reason
+            and not arbiter.evacuated
+            and not arbiter.is_session_stale(run.session, self.clock.now())
+        )
+
     async def stop_run(self, run):
         """Stop a run at the worker and report the outcome to the arbiter."""
         await self.send_stop(run.order.ref)
@@ -304,6 +340,8 @@
                 return
             token = self.token.value
             reply = await self.client.stop(worker, ref, token, self.answer_times.timeout_s)
+            if reply.is_lost:
+                self.list_polls.on_call_lost(self.clock.now())
             if reply.answer == "fence":
                 self.token.on_refused(token)
             elif reply.answer != "unanswered" and reply.answer != "unhealthy":
@@ -313,6 +351,14 @@
         log.warning("order to stop not acknowledged", extra={"task": task_name(ref)})
 
 
+def retry_delay_s(reply):
+    """Return the pause in seconds after a failed `LeaseReply`.
+
+    A worker may refuse every request, break every connection or answer with an error at once.
+    """
+    return 0.0 if reply.timed_out else RETRY_DELAY_S
+
+
 def task_name(ref):
     """Return the name of a task for log lines."""
     return f"{ref.job}.{ref.step}.{ref.index}"
