Arbiter: let idle degraded workers recover and bound the effect of one run

A worker counts as degraded from 1.8 times its usual run time ratio, but the recent ratio decayed only from 2.5 times, so a worker between the two that got no runs never recovered. Its ratio now decays towards the usual one while it has no runs; above 2.5 times it decays always, as before.

One run changed the recent average by any factor: where 3 % of the runs take 7 times as long, a healthy worker became degraded 2.65 times in 1,000 runs.

The documentation of projected_log_ratio names its average.

Two tests, which failed before. tests/direct: all pass.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -20,6 +20,7 @@
 from onyxfork.direct.progress import (
     SLOW_FACTOR,
     StallHistory,
+    add_to_log_ratio,
     find_runs_to_restart,
     find_stalled,
     include_projections,
@@ -35,6 +36,7 @@
     TOO_LARGE,
 )
 from onyxfork.direct.worker_speed import UsualSpeed
+from onyxfork.direct.workers import DEGRADED_FACTOR
 
 __all__ = ["Arbiter"]
 
@@ -135,7 +137,7 @@
     stall_history : StallHistory
         Which of the latest runs made progress.
     projected_log_ratio : float
-        The same average, with the projected run times of the runs that run.
+        `log_run_time_ratio` with the projected run times of the runs that run.
     current_run_time_ratio : float or None
         Median of the projected run times of running runs over their estimates.
     suspension_detected_at : float
@@ -443,7 +445,9 @@
     def record_run_time(self, run_ms, expected_ms):
         """Update the recent and the usual average of run times over their estimates."""
         ratio = max(run_ms, MIN_EXPECTED_MS) / max(expected_ms, MIN_EXPECTED_MS)
-        self.log_run_time_ratio += RUN_TIME_EMA_WEIGHT * (math.log(ratio) - self.log_run_time_ratio)
+        self.log_run_time_ratio = add_to_log_ratio(
+            self.log_run_time_ratio, RUN_TIME_EMA_WEIGHT, ratio
+        )
         self.usual_speed.record(ratio, math.exp(self.log_run_time_ratio))
 
     # Time
@@ -457,8 +461,11 @@
         if self.last_tick_at is not None:
             decay = math.exp((self.last_tick_at - now) / DECAY_TIME_CONSTANT_S)
             self.failure_share *= decay
-            if self.log_run_time_ratio > math.log(self.slow_ratio):
-                self.log_run_time_ratio *= decay
+            usual = math.log(self.usual_speed.ratio)
+            excess = self.log_run_time_ratio - usual
+            is_slow = self.log_run_time_ratio > math.log(self.slow_ratio)
+            if is_slow or (not self.runs and excess > math.log(DEGRADED_FACTOR)):
+                self.log_run_time_ratio = usual + excess * decay
         self.last_tick_at = now
         self.stop_slow_runs(now)
         for session in list(self.sessions.values()):
--- a/onyxfork/direct/progress.py
+++ b/onyxfork/direct/progress.py
@@ -16,6 +16,7 @@
     "StallHistory",
     "find_stalled",
     "median_run_time_ratio",
+    "add_to_log_ratio",
     "include_projections",
     "find_runs_to_restart",
 ]
@@ -41,6 +42,9 @@
 ratio if that is above 1; higher than the usual spread of estimates. On a worker below this factor
 no run is stopped for being slow."""
 
+MAX_RUN_FACTOR = 2.0
+"""Bound on the ratio of one run over the average that it is added to, and on the inverse. Without
+it, the runs that take far longer than most through no fault of the worker would degrade it."""
 
 MAX_FINDINGS = 10
 """Number of latest runs from which the share of stalled ones is taken. At two stalled in five, at
@@ -135,6 +139,13 @@
     return median(projected) if len(projected) >= MIN_RUNS else None
 
 
+def add_to_log_ratio(log_ratio, weight, ratio):
+    """Return a moving average of log run time ratios after the ratio of one more run."""
+    change = math.log(ratio) - log_ratio
+    bound = math.log(MAX_RUN_FACTOR)
+    return log_ratio + weight * min(bound, max(-bound, change))
+
+
 def include_projections(log_ratio, weight, runs):
     """Return a moving average of log run time ratios as if the running runs had ended.
 
@@ -151,7 +162,7 @@
     for run in runs:
         ratio = projected_run_time_ratio(run) if run.state == RUNNING else None
         if ratio is not None:
-            log_ratio += weight * (math.log(ratio) - log_ratio)
+            log_ratio = add_to_log_ratio(log_ratio, weight, ratio)
     return log_ratio
 
 
--- a/tests/direct/test_worker_speed.py
+++ b/tests/direct/test_worker_speed.py
@@ -2,6 +2,7 @@
 
 import sys
 from pathlib import Path
+from random import Random
 
 import pytest
 
@@ -107,3 +108,27 @@
         entry.on_events("s1", [event], 0.0)
         entry.on_status("s1", make_status(orders_received=number + 1, **slow), 0.0)
     assert entry.estimates.predict_run_ms("checks", 100.0) == pytest.approx(100.0, rel=0.01)
+
+
+def test_idle_worker_whose_ratio_is_just_above_the_degraded_one_recovers():
+    """Entries give a degraded worker next to nothing, so that no run would lower its average."""
+    arbiter, session = make_arbiter()
+    complete_runs(arbiter, session, 50, 0.83)
+    complete_runs(arbiter, session, 15, 1.67, start=3.0)
+    for step in range(100):
+        arbiter.tick(5.0 + step / 50)
+    status = arbiter.status(session, 7.0)
+    assert status.run_time_ratio < DEGRADED_FACTOR * status.usual_run_time_ratio
+
+
+def test_few_long_runs_do_not_degrade_a_worker():
+    """3 % of the runs take 7 times as long; that isn't the worker's fault."""
+    arbiter, rng = make_arbiter()[0], Random(3)
+    onsets, was_degraded = 0, False
+    for _ in range(10_000):
+        tail = 7.0 if rng.random() < 0.03 else 1.0
+        arbiter.record_run_time(100.0 * tail * rng.lognormvariate(0, 0.4), 100.0)
+        degraded = arbiter.run_time_ratio >= DEGRADED_FACTOR * arbiter.usual_speed.ratio
+        onsets += degraded and not was_degraded
+        was_degraded = degraded
+    assert onsets <= 3
