Placement: compare a task only with workers of its service

One baseline covered the workers of all services. A task of a service that has only slow workers waited for a faster worker of another service while its own were idle, and admission counted no free capacity for it. There is one baseline for each service now, a task waits only for a ready worker that it fits and on which it is on time, and timely_workers returns the workers of the service if it would return none.

--- a/onyxfork/direct/placement.py
+++ b/onyxfork/direct/placement.py
@@ -106,12 +106,41 @@
     return (scaled_ms + fixed_ms / error) / expected_ms / RATIO_ERROR
 
 
-def timely_workers(job, views, baseline):
-    """Return the workers on which all tasks of a job that has just arrived would be on time."""
+def timely_workers(job, views, baselines):
+    """Return the workers on which all tasks of a job that has just arrived would be on time.
+
+    If these are none, or a worker of usual speed would be late, return all workers of its service.
+
+    Parameters
+    ----------
+    job : Job
+    views : iterable of WorkerView
+        Workers that are ready.
+    baselines : RunTimeBaseline
+
+    Returns
+    -------
+    list of WorkerView
+    """
+    service = job.request.queue.service
+    baseline = baselines.of_service(service)
+    views = [view for view in views if view.status.service == service]
+    if not baseline.is_uneven:
+        return views
     timely_ratio = min(highest_timely_ratio(task, job.arrived_at) for task in job.tasks)
     if timely_ratio < baseline.median_expected:
         return views
-    return [view for view in views if view.ratio <= timely_ratio]
+    return [view for view in views if view.ratio <= timely_ratio] or views
+
+
+def is_timely_worker(task, view, timely_ratio):
+    """Return whether a task fits a ready worker of its service and would be on time there."""
+    return (
+        view.is_ready
+        and view.ratio <= timely_ratio
+        and view.status.service == task.job.request.queue.service
+        and view.fits_when_empty(task.spec)
+    )
 
 
 def speed_cost(view, baseline, timely_ratio):
@@ -155,14 +184,14 @@
     return total + jitter_share * rng.random()
 
 
-def choose_worker(task, views, baseline, rng, now, zone="", jitter_share=JITTER_SHARE):
+def choose_worker(task, views, baselines, rng, now, zone="", jitter_share=JITTER_SHARE):
     """Return the acceptable worker with free capacity and the lowest cost for a task, or None.
 
     Parameters
     ----------
     task : Task
     views : iterable of WorkerView
-    baseline : RunTimeBaseline
+    baselines : RunTimeBaseline
     rng : random.Random
     now : float
         Monotonic seconds.
@@ -177,13 +206,18 @@
     """
     best, best_cost = None, float("inf")
     step, service = task.spec, task.job.request.queue.service
+    baseline = baselines.of_service(service)
     timely_ratio = highest_timely_ratio(task, now) if baseline.is_uneven else 0.0
     # Whether a worker of usual speed would be in time, for which it is better to wait.
-    can_wait = timely_ratio >= baseline.median_expected and not (step.label or step.rack)
+    can_wait = (
+        timely_ratio >= baseline.median_expected
+        and not (step.label or step.rack)
+        and any(is_timely_worker(task, view, timely_ratio) for view in views)
+    )
     for view in views:
         if not view.is_ready or view.status.service != service:
             continue
-        if not view.fits_now(step) or not is_acceptable(task, view, baseline, now):
+        if not view.fits_now(step) or not is_acceptable(task, view, baselines, now):
             continue
         if can_wait and view.ratio > timely_ratio:
             continue
@@ -197,7 +231,7 @@
     return best
 
 
-def is_acceptable(task, view, baseline, now):
+def is_acceptable(task, view, baselines, now):
     """Return whether a worker may get a task; if not, waiting for another one is better.
 
     An entry has at most one task at a time on a degraded worker, and only if it is on time there.
@@ -208,14 +242,14 @@
     ):
         return False
     if view.is_cold:
-        return is_acceptable_while_cold(task, view, baseline, now)
-    if not baseline.is_degraded(view):
+        return is_acceptable_while_cold(task, view, baselines, now)
+    if not baselines.is_degraded(view):
         return True
-    ends_at = now + baseline.relative_run_time(view) * task.expected_ms / 1000
+    ends_at = now + baselines.relative_run_time(view) * task.expected_ms / 1000
     return not view.tasks and ends_at <= task.job.due_at
 
 
-def is_acceptable_while_cold(task, view, baseline, now):
+def is_acceptable_while_cold(task, view, baselines, now):
     """Return whether a cold worker may get a task: one that is on time at its learnt speed.
 
     A task that can be on time nowhere may go there too, so that it does not take a faster worker's
@@ -224,7 +258,8 @@
     ratio = view.cold_run_time_ratio
     if ratio is None or now - view.cold_ratio_at >= COLD_PROBE_INTERVAL_S:
         return not view.tasks
-    ends_at = now + ratio / baseline.median_recent * task.expected_ms / 1000
+    median_recent = baselines.of_service(view.status.service).median_recent
+    ends_at = now + ratio / median_recent * task.expected_ms / 1000
     return ends_at <= task.job.due_at or now >= task.job.latest_start(task)
 
 
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-__all__ = ["WorkerView", "RunTimeBaseline"]
+__all__ = ["WorkerView", "RunTimeBaseline", "ServiceBaseline"]
 
 READY = "ready"
 NEUTRAL_RUN_TIME_RATIO = 1.0
@@ -165,8 +165,8 @@
 which they are left to the tasks that need them."""
 
 
-class RunTimeBaseline:
-    """Medians of the ready workers' run time ratios, the baseline for comparing workers.
+class ServiceBaseline:
+    """Medians of the run time ratios of a service's ready workers, to compare workers with.
 
     A run time ratio is run time over estimate. Estimates may be biased on all workers alike, so a
     worker's ratio is meaningful only relative to the median.
@@ -193,9 +193,8 @@
         self.slow_worker_share = 0.0
         self.common_change = 1.0
 
-    def refresh(self, workers):
-        """Recompute the medians over the ready workers."""
-        views = [view for view in workers if view.is_ready]
+    def refresh(self, views):
+        """Recompute the medians over the ready workers of the service."""
         reports = [view.status for view in views]
         changes = [status.run_time_ratio / status.usual_run_time_ratio for status in reports]
         self.median_recent = upper_median([status.run_time_ratio for status in reports])
@@ -224,6 +223,46 @@
         return view.ratio / self.median_expected
 
 
+class RunTimeBaseline:
+    """Baselines by service: a task can run on the workers of its own service only.
+
+    Attributes
+    ----------
+    by_service : dict of str to ServiceBaseline
+        Baselines of the services that have ready workers.
+    """
+
+    def __init__(self):
+        self.by_service = {}
+
+    def refresh(self, workers):
+        """Recompute the baselines over the ready workers."""
+        views_by_service = {}
+        for view in workers:
+            if view.is_ready:
+                views_by_service.setdefault(view.status.service, []).append(view)
+        self.by_service = {service: ServiceBaseline() for service in views_by_service}
+        for service, views in views_by_service.items():
+            self.by_service[service].refresh(views)
+
+    def of_service(self, service):
+        """Return the baseline of a service, a neutral one if none of its workers is ready."""
+        return self.by_service.get(service) or ServiceBaseline()
+
+    @property
+    def is_uneven(self):
+        """Whether the workers of any service differ in speed."""
+        return any(baseline.is_uneven for baseline in self.by_service.values())
+
+    def is_degraded(self, view):
+        """Return whether a worker has become slower, or is far slower than the others."""
+        return self.of_service(view.status.service).is_degraded(view)
+
+    def relative_run_time(self, view):
+        """Return a worker's run time ratio as a multiple of the median of its service."""
+        return self.of_service(view.status.service).relative_run_time(view)
+
+
 def upper_median(values):
     """Return the upper median, or `NEUTRAL_RUN_TIME_RATIO` if there are no values."""
     return sorted(values)[len(values) // 2] if values else NEUTRAL_RUN_TIME_RATIO
