--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -131,11 +131,7 @@
         job = task.job
         job.open_tasks[task.step] -= 1
         if event.run_ms:
-            # The run time on a worker of ratio 1: otherwise a queue whose tasks are placed on slow
-            # workers would be expected to take long, and these workers would appear fast.
-            usual = view.status.usual_run_time_ratio if view.status is not None else 1.0
-            queue = job.request.queue.name
-            self.estimates.record_run(queue, task.spec.expected_ms, event.run_ms / usual)
+            self.record_run_time(task, view, event.run_ms)
         if job.outcome is not None:
             self.remove_if_finished(job)
         elif not any(job.open_tasks):
@@ -143,6 +139,18 @@
         elif not job.open_tasks[task.step]:
             self.unblock(job)
 
+    def record_run_time(self, task, view, run_ms):
+        """Learn the run time of a task that is done, as on a worker with a run time ratio of 1.
+
+        Where workers differ in speed, a queue whose tasks run on slow ones would otherwise be
+        expected to take long, and these workers would appear fast. Elsewhere a ratio that all
+        workers have in common is an error of the estimates, which is to be corrected.
+        """
+        is_uneven = view.status is not None and self.run_time_baseline.is_uneven
+        usual_ratio = view.status.usual_run_time_ratio if is_uneven else 1.0
+        queue = task.job.request.queue.name
+        self.estimates.record_run(queue, task.spec.expected_ms, run_ms / usual_ratio)
+
     def unblock(self, job):
         """Enqueue the blocked tasks whose dependencies are all done."""
         for task in job.tasks:
