Try waiting tasks that have precedence over a job kept from starting

The search for tasks to place stopped at the first job that may not start. Behind it in the heap may be a higher priority with more slack, a lower one within its guarantee, and tasks of jobs that have already started. The search now passes over the jobs without precedence over the blocked one, at most 32 tasks. Three of the five new tests failed before; the other two guard the bound and the order of wide jobs.

--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -35,7 +35,12 @@
     choose_worker,
     timely_workers,
 )
-from onyxfork.direct.precedence import OVERDUE_PENALTY_S, PriorityUse
+from onyxfork.direct.precedence import (
+    MAX_PRIORITIES,
+    OVERDUE_PENALTY_S,
+    PriorityUse,
+    priority_index,
+)
 from onyxfork.direct.precedence_placement import choose_worker_to_queue_at
 from onyxfork.direct.requests import REFUSED, UNKNOWN, JobOutcome
 from onyxfork.direct.subsets import ANY_LABEL
@@ -58,6 +63,13 @@
 """If more than this share of the known agents is ready, a lack of free capacity is due to load and
 not to agents that are still reconnecting."""
 
+MAX_MISFITS = 4
+"""Waiting tasks that fit no worker now, after which a search for tasks to place stops."""
+
+MAX_SKIPPED_TASKS = 32
+"""Waiting tasks that a search passes over without a try, because their jobs may not start now. It
+bounds the duration of a search."""
+
 MAX_PLACEMENT_WAIT_S = 0.02
 """If a task has found no worker for this long since its job arrived, the entry needs more agents;
 a full subset of workers ends a run every few milliseconds."""
@@ -279,10 +291,12 @@
         """Place waiting tasks by precedence, then least slack, while workers have free capacity.
 
         A task that can no longer be on time comes after all that can: placing it first would make
-        the next one late too. The search stops after four tasks that fit no worker now.
+        the next one late too. A job that may not start yet keeps those without precedence over it
+        from starting; others behind it in the heap are tried.
         """
-        passed_over = []
-        while self.waiting_heap:
+        passed_over, blocked_priority, blocked_jobs = [], MAX_PRIORITIES, set()
+        misfits = skipped = 0
+        while self.waiting_heap and misfits < MAX_MISFITS and skipped < MAX_SKIPPED_TASKS:
             item = heapq.heappop(self.waiting_heap)
             key, _, task = item
             if task not in self.waiting_tasks:
@@ -291,22 +305,39 @@
             if latest_start < now and key < latest_start + OVERDUE_PENALTY_S:
                 self.push_waiting(task, key + OVERDUE_PENALTY_S)
                 continue
-            if not self.use.may_start(task.job):
-                # What follows in the heap has no precedence over this job.
+            if task.job in blocked_jobs or self.is_blocked(task.job, blocked_priority):
+                blocked_jobs.add(task.job)
+                blocked_priority = min(blocked_priority, priority_index(task.job.priority))
                 passed_over.append(item)
-                break
+                skipped += 1
+                continue
             view = self.choose_worker(task, now)
             if view is None:
                 if now - task.job.arrived_at >= MAX_PLACEMENT_WAIT_S:
                     self.record_shortage(task.spec, now)
                 passed_over.append(item)
-                if len(passed_over) >= 4:
-                    break
+                misfits += 1
                 continue
             self.place(task, view, now)
         for item in passed_over:
             heapq.heappush(self.waiting_heap, item)
 
+    def is_blocked(self, job, blocked_priority):
+        """Return whether a job may not start now.
+
+        Parameters
+        ----------
+        job : Job
+        blocked_priority : int
+            The highest priority of which a job that precedes this one may not start;
+            `MAX_PRIORITIES` if there is none.
+        """
+        if not self.use.may_start(job):
+            return True
+        if job.first_placed_at is not None or priority_index(job.priority) < blocked_priority:
+            return False
+        return not self.use.has_guarantee(job)
+
     def choose_worker(self, task, now):
         """Return the worker that gets a task, or None.
 
--- a/tests/direct/test_precedence.py
+++ b/tests/direct/test_precedence.py
@@ -18,8 +18,11 @@
 
 from onyxfork.direct.admission import Refusal  # noqa: E402
 from onyxfork.direct.arbiter import Arbiter  # noqa: E402
+from onyxfork.direct.dispatcher import MAX_SKIPPED_TASKS  # noqa: E402
+from onyxfork.direct.jobs import make_job  # noqa: E402
 from onyxfork.direct.precedence import allocate, priority_index, start_key  # noqa: E402
 
+MIDDLE = evolve(QUEUE, name="middle", prefix="/m/", priority=1)
 LOW = evolve(QUEUE, name="low", prefix="/l/", priority=2)
 
 
@@ -97,3 +100,67 @@
     dispatcher = contended_dispatcher([4000])
     assert not dispatcher.use.is_contended(0) and dispatcher.use.is_contended(2)
     assert dispatcher.use.leaves_reserve(dispatcher.submit(make_request(tasks=1), 1.0), 1000)
+
+
+def dispatcher_with_blocked_job():
+    """A job of priority 1 waits because the four free cores are reserved for priority 0."""
+    dispatcher = make_dispatcher(cpu=8000, cpu_free=4000)
+    use = dispatcher.use
+    use.spare = use.capacity = 4000.0
+    use.average[0] = use.average[1] = 2000.0
+    use.reserve[1] = use.reserve[2] = 4000.0
+    enqueue_job(dispatcher, "00000000000000b1", MIDDLE)
+    return dispatcher
+
+
+def enqueue_job(dispatcher, identifier, queue, ms=100.0, tasks=1):
+    request = make_request(identifier, tasks=tasks, ms=ms, queue=queue)
+    job = make_job(request, 0.0, dispatcher.estimates)
+    dispatcher.jobs[job.id] = job
+    for task in job.tasks:
+        dispatcher.enqueue(task)
+    return job
+
+
+def jobs_ordered(dispatcher):
+    dispatcher.place_waiting_tasks(0.0)
+    return [order.job[-2:] for orders in take_orders(dispatcher).values() for order in orders]
+
+
+def test_blocked_job_does_not_stop_a_higher_priority_with_much_slack():
+    """Guards against cores that stay idle although they are reserved for the job that waits."""
+    dispatcher = dispatcher_with_blocked_job()
+    enqueue_job(dispatcher, "00000000000000b2", QUEUE, ms=20000.0)
+    assert jobs_ordered(dispatcher) == ["b2"]
+
+
+def test_blocked_job_does_not_stop_a_lower_priority_within_its_guarantee():
+    dispatcher = dispatcher_with_blocked_job()
+    dispatcher.use.guaranteed[2] = 1000.0
+    enqueue_job(dispatcher, "00000000000000b2", LOW)
+    assert jobs_ordered(dispatcher) == ["b2"]
+
+
+def test_blocked_job_does_not_stop_a_job_that_has_started():
+    """Guards against a job that ends late because its last task waits behind a new job."""
+    dispatcher = dispatcher_with_blocked_job()
+    enqueue_job(dispatcher, "00000000000000b2", MIDDLE, ms=500.0).first_placed_at = 0.0
+    assert jobs_ordered(dispatcher) == ["b2"]
+
+
+def test_blocked_job_is_not_overtaken_by_a_smaller_one_of_its_priority():
+    """The blocked job is wide; one task alone would fit beside the reserve."""
+    dispatcher = dispatcher_with_blocked_job()
+    dispatcher.use.reserve[1] = dispatcher.use.reserve[2] = 3000.0
+    wide = enqueue_job(dispatcher, "00000000000000b0", MIDDLE, ms=50.0, tasks=3)
+    assert not dispatcher.use.may_start(wide)
+    enqueue_job(dispatcher, "00000000000000b2", LOW)
+    assert jobs_ordered(dispatcher) == []
+
+
+def test_search_passes_over_a_bounded_number_of_blocked_tasks():
+    dispatcher = dispatcher_with_blocked_job()
+    for number in range(MAX_SKIPPED_TASKS):
+        enqueue_job(dispatcher, f"{number:016x}", MIDDLE)
+    enqueue_job(dispatcher, "00000000000000b2", QUEUE, ms=20000.0)
+    assert jobs_ordered(dispatcher) == []
