Bound the search for full workers on each report

The choice of a full worker to queue at ran up to four times a report over all workers, also at workers with room that placement had rejected as too slow. Three new tests failed before.

--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -70,6 +70,9 @@
 """Waiting tasks that a search passes over without a try, because their jobs may not start now. It
 bounds the duration of a search."""
 
+MAX_SKIPPED_TASKS_ON_REPORT = 8
+"""The same bound on each report and event, of which there are hundreds a second."""
+
 MAX_PLACEMENT_WAIT_S = 0.02
 """If a task has found no worker for this long since its job arrived, the entry needs more agents;
 a full subset of workers ends a run every few milliseconds."""
@@ -186,7 +189,7 @@
         for task in job.tasks:
             if task.state == WAITING:
                 self.enqueue(task)
-        self.place_waiting_tasks(now)
+        self.place_waiting_tasks(now, on_report=False)
         return job
 
     def find_refusal(self, job, now):
@@ -287,16 +290,30 @@
         """Push a waiting task onto the heap; `key` is its start key, plus a penalty if late."""
         heapq.heappush(self.waiting_heap, (key, next(self.heap_sequence), task))
 
-    def place_waiting_tasks(self, now):
+    def place_waiting_tasks(self, now, on_report=True):
         """Place waiting tasks by precedence, then least slack, while workers have free capacity.
 
         A task that can no longer be on time comes after all that can: placing it first would make
         the next one late too. A job that may not start yet keeps those without precedence over it
         from starting; others behind it in the heap are tried.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        on_report : bool
+            Whether only reports or events have arrived since the latest search, which is then
+            shorter.
         """
+        max_skipped = MAX_SKIPPED_TASKS_ON_REPORT if on_report else MAX_SKIPPED_TASKS
+        max_unqueued = 1 if on_report else MAX_MISFITS
+        unqueued = set()
+        # No task of a search fits where fewer cores are free; placing tasks only lowers them.
+        ready = [view for view in self.workers.values() if view.is_ready]
+        most_free = max((view.cpu_free for view in ready), default=0)
         passed_over, blocked_priority, blocked_jobs = [], MAX_PRIORITIES, set()
         misfits = skipped = 0
-        while self.waiting_heap and misfits < MAX_MISFITS and skipped < MAX_SKIPPED_TASKS:
+        while self.waiting_heap and misfits < MAX_MISFITS and skipped < max_skipped:
             item = heapq.heappop(self.waiting_heap)
             key, _, task = item
             if task not in self.waiting_tasks:
@@ -311,7 +328,9 @@
                 passed_over.append(item)
                 skipped += 1
                 continue
-            view = self.choose_worker(task, now)
+            view = self.choose_worker(task, now) if task.spec.cpu <= most_free else None
+            if view is None and len(unqueued) < max_unqueued:
+                view = self.choose_queue(task, unqueued, now)
             if view is None:
                 if now - task.job.arrived_at >= MAX_PLACEMENT_WAIT_S:
                     self.record_shortage(task.spec, now)
@@ -339,19 +358,32 @@
         return not self.use.has_guarantee(job)
 
     def choose_worker(self, task, now):
-        """Return the worker that gets a task, or None.
+        """Return the worker with free capacity that gets a task, or None."""
+        jitter_share = CROWDED_JITTER_SHARE if self.use.is_crowded else JITTER_SHARE
+        views, baseline = self.workers.values(), self.run_time_baseline
+        return choose_worker(task, views, baseline, self.rng, now, self.zone, jitter_share)
+
+    def choose_queue(self, task, unqueued, now):
+        """Return the full worker whose agent starts a task before other work, or None.
 
-        If no worker has free capacity, it is one whose agent starts the task before other work.
+        Parameters
+        ----------
+        task : Task
+        unqueued : set of (int, int)
+            Priority and cores of the tasks for which this search has found no such worker; tasks
+            like these aren't tried again.
+        now : float
+            Monotonic seconds.
         """
-        views, use = self.workers.values(), self.use
-        jitter_share = CROWDED_JITTER_SHARE if use.is_crowded else JITTER_SHARE
-        view = choose_worker(
-            task, views, self.run_time_baseline, self.rng, now, self.zone, jitter_share
-        )
-        precedes = use.has_lower(task.job.priority) or use.has_guarantee(task.job)
-        if view is None and precedes:
-            baseline = self.run_time_baseline
-            view = choose_worker_to_queue_at(task, views, use, baseline, self.rng, now)
+        use, kind = self.use, (task.job.priority, task.spec.cpu)
+        if kind in unqueued or not (
+            use.has_lower(task.job.priority) or use.has_guarantee(task.job)
+        ):
+            return None
+        views, baseline = self.workers.values(), self.run_time_baseline
+        view = choose_worker_to_queue_at(task, views, use, baseline, self.rng, now)
+        if view is None:
+            unqueued.add(kind)
         return view
 
     def record_shortage(self, step, now):
@@ -427,7 +459,7 @@
         self.use.refresh(self.workers.values(), now)
         waits = bool(self.waiting_heap)
         if waits:
-            self.place_waiting_tasks(now)
+            self.place_waiting_tasks(now, on_report=False)
         # Under contention the tasks that wait may be those that leave a reserve free.
         if not waits or self.use.is_crowded:
             self.recall_queued_runs(now)
--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -163,6 +163,8 @@
         Work of this entry's jobs, with and without refused ones, decaying by `DEMAND_TIME_S`.
     refreshed_at : float or None
         Monotonic seconds of the latest refresh.
+    lower_sums : dict of str to tuple
+        The report of each worker by which `lower_cores` was computed last, and its results.
     """
 
     unit: float = 1000.0
@@ -181,12 +183,14 @@
     offered: list = field(factory=zeros)
     accepted: list = field(factory=zeros)
     refreshed_at: float | None = None
+    lower_sums: dict = field(factory=dict)
 
     # Updates
 
     def refresh(self, views, now):
         """Recompute the sums over the known workers and what follows from them."""
         self.held, self.spare, self.capacity = zeros(), 0.0, 0.0
+        self.lower_sums.clear()
         for view in views:
             if view.is_ready:
                 self.capacity += view.status.cpu
@@ -294,12 +298,12 @@
     def has_higher(self, priority):
         """Return whether work of a higher priority uses the known workers."""
         index = priority_index(priority)
-        return any(average >= MIN_USE for average in self.average[:index])
+        return index > 0 and max(self.average[:index]) >= MIN_USE
 
     def has_lower(self, priority):
         """Return whether work of a lower priority uses the known workers."""
-        index = priority_index(priority)
-        return any(average >= MIN_USE for average in self.average[index + 1 :])
+        lower = self.average[priority_index(priority) + 1 :]
+        return bool(lower) and max(lower) >= MIN_USE
 
     @property
     def is_crowded(self):
@@ -371,6 +375,22 @@
                 rate += 1000 * cores / self.run_ms_of(index)
         return rate
 
+    def lower_cores(self, view, index):
+        """Return what lower priorities than `index` hold on a worker, by its latest report.
+
+        Returns
+        -------
+        int
+            Thousandths of a core.
+        """
+        status = view.status
+        known = self.lower_sums.get(view.node)
+        if known is None or known[0] is not status:
+            held = status.cpu_by_priority[:MAX_PRIORITIES]
+            sums = [sum(held[first:]) for first in range(1, MAX_PRIORITIES + 1)]
+            known = self.lower_sums[view.node] = (status, sums)
+        return known[1][index]
+
     def expected_queue_ms(self, millicores, view):
         """Return the expected time until `millicores` become free on a worker."""
         rate = sum(
--- a/tests/direct/test_precedence.py
+++ b/tests/direct/test_precedence.py
@@ -164,3 +164,52 @@
         enqueue_job(dispatcher, f"{number:016x}", MIDDLE)
     enqueue_job(dispatcher, "00000000000000b2", QUEUE, ms=20000.0)
     assert jobs_ordered(dispatcher) == []
+
+
+def full_dispatcher(workers, held):
+    """Full workers of eight cores, of which priorities hold `held` each."""
+    dispatcher = make_dispatcher([f"s{number}" for number in range(workers)], cpu=8000, cpu_free=0)
+    for view in dispatcher.workers.values():
+        view.status.cpu_by_priority = held
+        view.reported_at = 1.0
+    dispatcher.use.refresh(dispatcher.workers.values(), 1.0)
+    return dispatcher
+
+
+def test_report_makes_one_search_for_a_worker_to_queue_at(monkeypatch):
+    """Guards against a cost per report that grows with the number of waiting tasks."""
+    searches = []
+    monkeypatch.setattr(
+        "onyxfork.direct.dispatcher.choose_worker_to_queue_at",
+        lambda task, *_: searches.append(task.job.priority),
+    )
+    dispatcher = full_dispatcher(4, [6000, 1000, 500])
+    for number in range(6):
+        enqueue_job(dispatcher, f"{number:016x}", [QUEUE, MIDDLE][number % 2])
+    dispatcher.place_waiting_tasks(1.0)
+    assert searches == [0]
+    dispatcher.place_waiting_tasks(1.0, on_report=False)
+    assert searches == [0, 0, 1]
+
+
+def test_task_does_not_queue_at_a_worker_with_room_that_placement_rejects():
+    """Placement waits for a faster worker; the task would be late on the one that is free."""
+    dispatcher = full_dispatcher(4, [6000, 1000, 1000])
+    status = make_status(cpu=8000, cpu_free=6000, usual_run_time_ratio=2.0, run_time_ratio=2.0)
+    status.cpu_by_priority = [0, 1000, 1000]
+    dispatcher.on_status("s0", status, 1.0)
+    dispatcher.run_time_baseline.refresh(dispatcher.workers.values())
+    assert dispatcher.run_time_baseline.is_uneven
+    for free in (6000, 0):
+        status.cpu_free = free
+        enqueue_job(dispatcher, f"{free:016x}", QUEUE, ms=1000.0, tasks=4)
+        dispatcher.place_waiting_tasks(0.0, on_report=False)
+        assert "s0" not in take_orders(dispatcher)
+
+
+def test_lower_cores_follow_the_latest_report():
+    dispatcher = full_dispatcher(1, [6000, 1000, 1000])
+    (view,) = dispatcher.workers.values()
+    assert [dispatcher.use.lower_cores(view, index) for index in (0, 1, 2, 7)] == [2000, 1000, 0, 0]
+    dispatcher.on_status("s0", make_status(cpu=8000, cpu_free=0), 1.0)
+    assert dispatcher.use.lower_cores(view, 0) == 0
