Count only jobs that the known workers fit as offered work

Jobs that fit no worker and copies of a job raised the average size of a task and the demand without bound, so that other jobs were refused. They no longer count, and offered over accepted work counts up to 4.

--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -177,7 +177,6 @@
         job = make_job(request, now, self.estimates)
         if self.crash_table.apply_to(job) and self.fail_if_exhausted(job):
             return job
-        self.use.record_offered(job)
         refusal = self.find_refusal(job, now)
         if refusal is not None:
             return refusal
@@ -203,6 +202,7 @@
             if not can_ever_run(step, job.request.queue.service, self.workers.values()):
                 self.record_shortage(step, now)
                 return Refusal(f"step {position} fits no worker")
+        self.use.record_offered(job)
         queued = self.tasks_queued_at_agents(now)
         capacity = Capacity(
             self.speed_in_use - sum(task.spec.cpu * task.speed for task in queued),
--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -69,6 +69,10 @@
 DEMAND_TIME_S = 1.0
 """Time constant of the averages of offered and accepted work."""
 
+MAX_OFFERED_RATIO = 4.0
+"""Bound on offered over accepted work in the demand: bursts bring up to 2.5 times the usual load,
+and refused jobs that return soon add to it."""
+
 MIN_USE = 1.0
 """Thousandths of a core below which a priority counts as unused."""
 
@@ -276,7 +280,11 @@
         Other entries are assumed to refuse as large a part of each priority as this one.
         """
         return sum(
-            average * max(1.0, offered / accepted) if accepted > 0 else average
+            (
+                average * min(MAX_OFFERED_RATIO, max(1.0, offered / accepted))
+                if accepted > 0
+                else average
+            )
             for average, offered, accepted in zip(
                 self.average, self.offered, self.accepted, strict=True
             )
--- a/tests/direct/test_precedence.py
+++ b/tests/direct/test_precedence.py
@@ -213,3 +213,19 @@
     assert [dispatcher.use.lower_cores(view, index) for index in (0, 1, 2, 7)] == [2000, 1000, 0, 0]
     dispatcher.on_status("s0", make_status(cpu=8000, cpu_free=0), 1.0)
     assert dispatcher.use.lower_cores(view, 0) == 0
+
+
+def test_jobs_that_fit_no_worker_and_copies_do_not_count_as_offered():
+    """Guards against a caller whose refused jobs raise the demand and so limit everyone."""
+    dispatcher = make_dispatcher()
+    dispatcher.submit(make_request(), 0.0)
+    offered, unit = list(dispatcher.use.offered), dispatcher.use.unit
+    dispatcher.submit(make_request(), 0.0)
+    dispatcher.submit(make_request("00000000000000b1", cpu=64000), 0.0)
+    assert (dispatcher.use.offered, dispatcher.use.unit) == (offered, unit)
+
+
+def test_demand_counts_refused_work_up_to_a_bound():
+    use = make_dispatcher().use
+    use.average[0], use.accepted[0], use.offered[0] = 1000.0, 10.0, 1e6
+    assert use.demand == 4000.0
