Judge the first job of a priority by its guarantee

Shares changed only on a tick, so the first job of a priority in a full fleet was refused with "uses 0 cores of 0". A priority that asks counts at once, and its share is never below its guarantee. Offered work is compared with the bound in cores. Three new tests failed before.

--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -235,7 +235,7 @@
     def update_limits(self):
         """Recompute the reserves and the shares."""
         seen = [
-            average >= MIN_USE or offered >= MIN_USE
+            average >= MIN_USE or offered / (1000 * DEMAND_TIME_S) >= MIN_USE
             for average, offered in zip(self.average, self.offered, strict=True)
         ]
         scale = (self.demand / max(1.0, self.capacity) - LIMITED_LOAD) / (FULL_LOAD - LIMITED_LOAD)
@@ -266,8 +266,12 @@
 
     def record_offered(self, job):
         """Count the work of a job that has arrived, and update the average size of a task."""
-        self.offered[priority_index(job.priority)] += job.work
+        index = priority_index(job.priority)
+        self.offered[index] += job.work
         self.unit += 0.1 * (sum(task.spec.cpu for task in job.tasks) / len(job.tasks) - self.unit)
+        if not self.guaranteed[index]:
+            # The first job of a priority is not judged by limits from before it asked.
+            self.update_limits()
 
     def record_accepted(self, job, sign=1):
         """Count the work of an accepted job, or discount it with a sign of -1."""
@@ -352,7 +356,8 @@
         if not self.is_contended(job.priority) or self.spare >= SCARCE_SHARE * self.capacity:
             return 0.0
         index = priority_index(job.priority)
-        return max(0.0, self.held[index] + job.waiting_millicores - self.shares[index])
+        share = max(self.shares[index], self.guaranteed[index])
+        return max(0.0, self.held[index] + job.waiting_millicores - share)
 
     def run_ms_of(self, index):
         """Return the expected run time of tasks of a priority."""
--- a/tests/direct/test_precedence.py
+++ b/tests/direct/test_precedence.py
@@ -229,3 +229,27 @@
     use = make_dispatcher().use
     use.average[0], use.accepted[0], use.offered[0] = 1000.0, 10.0, 1e6
     assert use.demand == 4000.0
+
+
+def test_first_job_of_a_priority_in_a_full_fleet_is_judged_by_its_guarantee():
+    """Guards against the refusal "uses 0 cores of 0" until the next tick."""
+    dispatcher = full_dispatcher(4, [8000])
+    dispatcher.submit(make_request(tasks=2, queue=LOW, ms=500.0), 1.0)
+    assert dispatcher.use.shares[2] > 2000.0
+    assert dispatcher.use.guaranteed[2] > 2000.0
+
+
+def test_share_is_never_below_the_guarantee():
+    dispatcher = full_dispatcher(4, [6000, 0, 2000])
+    use = dispatcher.use
+    use.spare, use.shares[2], use.guaranteed[2] = 0.0, 0.0, 12000.0
+    job = make_job(make_request(tasks=2, queue=LOW), 1.0, dispatcher.estimates)
+    assert use.excess_use(job) == 0.0
+
+
+def test_priority_is_forgotten_once_its_offered_work_is_below_a_thousandth_of_a_core():
+    """Guards against comparing work (millicore-milliseconds) with millicores."""
+    use = full_dispatcher(4, [8000]).use
+    use.offered[2] = 500.0
+    use.update_limits()
+    assert use.guaranteed[2] == 0.0
