Count only steps without dependencies in the cores that a job needs

Admission summed the cores of all steps, so a chain of steps was refused although it needs the cores of one at a time.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -163,7 +163,8 @@
             f"{use.held[index] / 1000:.0f} cores of {use.shares[index] / 1000:.0f}"
         )
     own_key = min(map(job.start_key, job.tasks))
-    need = sum(task.spec.cpu for task in job.tasks)
+    # Tasks of steps that depend on others start when cores of the job are released.
+    need = job.waiting_millicores
     need += sum(task.spec.cpu for task in waiting if task.job.start_key(task) <= own_key)
     reserve = use.reserve[index]
     excess = need + reserve - free
