Let the lowest priority wait longer after a start

The bound of 0.6 of the slack while workers reconnect had no effect once priorities compete: the lowest always had 0.15.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -154,7 +154,8 @@
     now : float
         Monotonic seconds.
     max_slack_share : float
-        Lower bound on the accepted wait of a job that precedes other work.
+        Bound on the predicted wait in the absence of priorities. After a start, when it is higher
+        than usual, it holds for the lowest priority too.
     """
     queue, index = job.request.queue, priority_index(job.priority)
     if use.excess_use(job):
@@ -175,7 +176,10 @@
     if use.has_guarantee(job):
         precedes, rate = True, use.release_rate(0)
     wait_s = excess / max(rate, 1.0)
-    share = max(max_slack_share, PRECEDING_SLACK_SHARE) if precedes else LOWEST_SLACK_SHARE
+    lowest_share = LOWEST_SLACK_SHARE
+    if max_slack_share > MAX_SLACK_SHARE:
+        lowest_share = max(max_slack_share, LOWEST_SLACK_SHARE)
+    share = max(max_slack_share, PRECEDING_SLACK_SHARE) if precedes else lowest_share
     allowed_s = share * (min(map(job.latest_start, job.tasks)) - now)
     if wait_s <= allowed_s:
         return None
--- a/tests/direct/test_precedence.py
+++ b/tests/direct/test_precedence.py
@@ -16,7 +16,12 @@
     take_orders,
 )
 
-from onyxfork.direct.admission import Refusal, check_precedence  # noqa: E402
+from onyxfork.direct.admission import (  # noqa: E402
+    MAX_SLACK_SHARE,
+    MAX_SLACK_SHARE_AT_STARTUP,
+    Refusal,
+    check_precedence,
+)
 from onyxfork.direct.arbiter import Arbiter  # noqa: E402
 from onyxfork.direct.dispatcher import MAX_SKIPPED_TASKS  # noqa: E402
 from onyxfork.direct.jobs import make_job  # noqa: E402
@@ -266,3 +271,15 @@
     dispatcher.use.spare = 8000.0
     dispatcher.use.reserve[2] = 0.0
     assert check_precedence(job, [], 2000.0, dispatcher.use, 1.0) is None
+
+
+def test_lowest_priority_may_wait_longer_after_a_start():
+    """Guards against refusals while workers reconnect and capacity is still growing."""
+    dispatcher = full_dispatcher(1, [6000, 0, 2000])
+    use = dispatcher.use
+    use.spare, use.guaranteed[2], use.reserve[2] = 8000.0, 0.0, 0.0
+    use.own[2], use.run_ms[2] = 3800.0, 1000.0
+    job = make_job(make_request(tasks=1, ms=1000.0, queue=LOW), 1.0, dispatcher.estimates)
+    shares = (MAX_SLACK_SHARE, MAX_SLACK_SHARE_AT_STARTUP)
+    refusals = [check_precedence(job, [], 0.0, use, 1.0, share) for share in shares]
+    assert refusals[0] is not None and refusals[1] is None
