Count refusals by cause, and ignore old reports when tasks queue at agents

What priorities hold on a worker by a report older than 0.5 s, or without the field, was still used to choose a worker to queue at; now only the entry's own runs count, as for the shares. Refusals are counted by queue and cause, and a gauge has the share that each priority holds.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -48,10 +48,19 @@
 
 @define(slots=True)
 class Refusal:
-    """Why a job is not accepted, and after which delay the caller should retry."""
+    """Why a job is not accepted, and after which delay the caller should retry.
+
+    Parameters
+    ----------
+    reason : str
+    retry_after_ms : float
+    cause : str
+        ``over share``, ``reserve``, ``wait`` or ``other``.
+    """
 
     reason: str
     retry_after_ms: float = MIN_RETRY_AFTER_MS
+    cause: str = "other"
 
 
 @define(slots=True)
@@ -138,7 +147,7 @@
         return None
     excess_ms = (wait_s - allowed_s) * 1000
     reason = f"would wait {wait_s * 1000:.0f} ms of {allowed_s * 1000:.0f} ms allowed"
-    return Refusal(reason, max(MIN_RETRY_AFTER_MS, excess_ms))
+    return Refusal(reason, max(MIN_RETRY_AFTER_MS, excess_ms), "wait")
 
 
 def check_precedence(job, waiting, free, use, now, max_slack_share=MAX_SLACK_SHARE):
@@ -161,7 +170,8 @@
     if use.excess_use(job):
         return Refusal(
             f"queue {queue.name} is over its share: priority {job.priority} uses "
-            f"{use.held[index] / 1000:.0f} cores of {use.shares[index] / 1000:.0f}"
+            f"{use.held[index] / 1000:.0f} cores of {use.shares[index] / 1000:.0f}",
+            cause="over share",
         )
     own_key = min(map(job.start_key, job.tasks))
     # Tasks of steps that depend on others start when cores of the job are released.
@@ -187,4 +197,5 @@
         f"queue {queue.name} would wait {wait_s * 1000:.0f} ms of {allowed_s * 1000:.0f} ms "
         f"allowed with {reserve / 1000:.0f} cores reserved for higher priorities"
     )
-    return Refusal(reason, max(MIN_RETRY_AFTER_MS, (wait_s - allowed_s) * 1000))
+    delay_ms = max(MIN_RETRY_AFTER_MS, (wait_s - allowed_s) * 1000)
+    return Refusal(reason, delay_ms, "reserve" if reserve else "wait")
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -126,6 +126,8 @@
     cpu_limit : int
         Thousandths of a core that runs may use: the reported capacity, or less if the worker has
         refused a run for lack of capacity since.
+    cpu_by_priority : list of int
+        Thousandths of a core that runs of each priority hold, running and queued.
     log_run_time_ratio : float
         Moving average of the logarithm of run times over their estimates.
     usual_speed : UsualSpeed
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from contextlib import asynccontextmanager
+from functools import partial
 
 from onyxfork.direct.admission import Refusal
 from onyxfork.direct.answer_log import answer_log_fields
@@ -26,6 +27,7 @@
     share_specs,
 )
 from onyxfork.direct.placement import can_ever_run
+from onyxfork.direct.precedence import MAX_PRIORITIES
 from onyxfork.direct.requests import REFUSED, JobOutcome
 from onyxfork.direct.return_times import ReturnTimes, job_work
 from onyxfork.errors import ProtocolError
@@ -125,6 +127,9 @@
         telemetry.gauge("jobs_inside", lambda: len(self.dispatcher.jobs))
         telemetry.gauge("loop_delay_ms", lambda: round(self.load.delay_ms, 1))
         telemetry.gauge("tasks_waiting", lambda: len(self.dispatcher.waiting_tasks))
+        for index in range(MAX_PRIORITIES):
+            read = partial(self.dispatcher.use.share_held, index)
+            telemetry.gauge("share_held", read, priority=index)
 
     def hello(self):
         """Return the `Hello` that introduces this process to a peer."""
@@ -215,6 +220,7 @@
         }
         log.info("job refused", extra={**self.admission_log_fields(request), **fields})
         self.telemetry.count("jobs", queue=request.queue.name, state=REFUSED)
+        self.telemetry.count("refusals", queue=request.queue.name, cause=refusal.cause)
         return JobOutcome(REFUSED, refusal.reason, delay_ms)
 
     def return_delay_ms(self, request, min_delay_ms):
--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -137,6 +137,27 @@
     return [0.0] * MAX_PRIORITIES
 
 
+def is_current(view, now):
+    """Return whether a worker's latest report tells what all entries hold there."""
+    return bool(view.status.cpu_by_priority) and now - view.reported_at <= MAX_REPORT_AGE_S
+
+
+def held_on(view, now):
+    """Return what each priority holds on a worker; without a current report, this entry's part.
+
+    Returns
+    -------
+    list of float
+        Thousandths of a core by priority.
+    """
+    if is_current(view, now):
+        return view.status.cpu_by_priority[:MAX_PRIORITIES]
+    held = zeros()
+    for task in view.tasks.values():
+        held[priority_index(task.job.priority)] += task.spec.cpu
+    return held
+
+
 @define(eq=False, slots=True)
 class PriorityUse:
     """Use of an entry's known workers by priority, in thousandths of a core.
@@ -212,13 +233,8 @@
 
     def add_held(self, view, now):
         """Add what each priority holds on a worker."""
-        reported = view.status.cpu_by_priority
-        if reported and now - view.reported_at <= MAX_REPORT_AGE_S:
-            for index, cpu in enumerate(reported[:MAX_PRIORITIES]):
-                self.held[index] += cpu
-            return
-        for task in view.tasks.values():
-            self.held[priority_index(task.job.priority)] += task.spec.cpu
+        for index, cpu in enumerate(held_on(view, now)):
+            self.held[index] += cpu
 
     def update_averages(self, weight):
         """Move the averages towards the present use by `weight`."""
@@ -300,6 +316,10 @@
             return 0.0
         return max(0, view.cpu_free) // self.unit * self.unit
 
+    def share_held(self, index):
+        """Return the share of the capacity that a priority holds, over all entries."""
+        return round(self.held[index] / self.capacity, 3) if self.capacity else 0.0
+
     # Decisions
 
     def is_contended(self, priority):
@@ -388,14 +408,16 @@
                 rate += 1000 * cores / self.run_ms_of(index)
         return rate
 
-    def lower_cores(self, view, index):
-        """Return what lower priorities than `index` hold on a worker, by its latest report.
+    def lower_cores(self, view, index, now):
+        """Return what lower priorities than `index` hold on a worker.
 
         Returns
         -------
         int
             Thousandths of a core.
         """
+        if not is_current(view, now):
+            return sum(held_on(view, now)[index + 1 :])
         status = view.status
         known = self.lower_sums.get(view.node)
         if known is None or known[0] is not status:
@@ -404,10 +426,7 @@
             known = self.lower_sums[view.node] = (status, sums)
         return known[1][index]
 
-    def expected_queue_ms(self, millicores, view):
+    def expected_queue_ms(self, millicores, view, now):
         """Return the expected time until `millicores` become free on a worker."""
-        rate = sum(
-            cpu / self.run_ms_of(index)
-            for index, cpu in enumerate(view.status.cpu_by_priority[:MAX_PRIORITIES])
-        )
+        rate = sum(cpu / self.run_ms_of(index) for index, cpu in enumerate(held_on(view, now)))
         return millicores / rate if rate > 0 else math.inf
--- a/onyxfork/direct/precedence_placement.py
+++ b/onyxfork/direct/precedence_placement.py
@@ -42,11 +42,11 @@
             continue
         if view.ratio > timely_ratio:
             continue
-        if not has_guarantee and use.lower_cores(view, index) < step.cpu:
+        if not has_guarantee and use.lower_cores(view, index, now) < step.cpu:
             continue
         if not may_queue_at(task, view) or not is_acceptable(task, view, baseline, now):
             continue
-        wait_ms = use.expected_queue_ms(step.cpu - view.cpu_free, view)
+        wait_ms = use.expected_queue_ms(step.cpu - view.cpu_free, view, now)
         # The jitter spreads the tasks of entries that have the same reports.
         cost = wait_ms * baseline.relative_run_time(view) * (1 + rng.random())
         if cost < best_cost:
--- a/onyxfork/direct/telemetry.py
+++ b/onyxfork/direct/telemetry.py
@@ -41,9 +41,9 @@
         bucket_counts[bisect_left(BUCKETS_MS, value_ms)] += 1
         self.sums[key] += value_ms
 
-    def gauge(self, name, read):
+    def gauge(self, name, read, **labels):
         """Register a gauge whose value is returned by `read` on each scrape."""
-        self.gauges[name] = read
+        self.gauges[name, tuple(labels.items())] = read
 
     def make_message_counter(self, peer_role):
         """Return a function that counts the messages of a connection to a peer of a role.
@@ -85,8 +85,8 @@
             family = HistogramMetricFamily(f"onyxfork_{name}", name, labels=names)
             family.add_metric(values, cumulative(bucket_counts), self.sums[name, labels])
             yield family
-        for name, read in self.gauges.items():
-            names, values = self.label_columns(())
+        for (name, labels), read in self.gauges.items():
+            names, values = self.label_columns(labels)
             family = GaugeMetricFamily(f"onyxfork_{name}", name, labels=names)
             family.add_metric(values, read())
             yield family
--- a/tests/direct/test_precedence.py
+++ b/tests/direct/test_precedence.py
@@ -216,9 +216,14 @@
 def test_lower_cores_follow_the_latest_report():
     dispatcher = full_dispatcher(1, [6000, 1000, 1000])
     (view,) = dispatcher.workers.values()
-    assert [dispatcher.use.lower_cores(view, index) for index in (0, 1, 2, 7)] == [2000, 1000, 0, 0]
+    assert [dispatcher.use.lower_cores(view, index, 1.0) for index in (0, 1, 2, 7)] == [
+        2000,
+        1000,
+        0,
+        0,
+    ]
     dispatcher.on_status("s0", make_status(cpu=8000, cpu_free=0), 1.0)
-    assert dispatcher.use.lower_cores(view, 0) == 0
+    assert dispatcher.use.lower_cores(view, 0, 1.0) == 0
 
 
 def test_jobs_that_fit_no_worker_and_copies_do_not_count_as_offered():
@@ -283,3 +288,23 @@
     shares = (MAX_SLACK_SHARE, MAX_SLACK_SHARE_AT_STARTUP)
     refusals = [check_precedence(job, [], 0.0, use, 1.0, share) for share in shares]
     assert refusals[0] is not None and refusals[1] is None
+
+
+def test_old_report_counts_only_own_runs_when_tasks_queue():
+    """Guards against queueing behind lower-priority runs that may have ended long ago."""
+    dispatcher = full_dispatcher(1, [6000, 0, 2000])
+    (view,) = dispatcher.workers.values()
+    assert dispatcher.use.lower_cores(view, 0, 1.6) == 0
+    assert dispatcher.use.expected_queue_ms(1000, view, 1.6) == float("inf")
+
+
+@pytest.mark.parametrize(("reserve", "cause"), [(0.0, "wait"), (4000.0, "reserve")])
+def test_refusal_names_its_cause(reserve, cause):
+    dispatcher = full_dispatcher(1, [6000, 0, 2000])
+    use = dispatcher.use
+    use.spare, use.guaranteed[2], use.reserve[2] = 8000.0, 0.0, reserve
+    job = make_job(make_request(tasks=1, queue=LOW), 1.0, dispatcher.estimates)
+    assert check_precedence(job, [], 0.0, use, 1.0).cause == cause
+    use.spare, use.shares[2] = 0.0, 0.0
+    assert check_precedence(job, [], 0.0, use, 1.0).cause == "over share"
+    assert use.share_held(2) == 0.25
--- a/tests/direct/test_telemetry.py
+++ b/tests/direct/test_telemetry.py
@@ -25,3 +25,12 @@
     assert any('le="+Inf"' in line and line.endswith(" 3.0") for line in buckets)
     gauge = next(line for line in lines if line.startswith("onyxfork_jobs_inside"))
     assert gauge.endswith(" 3.0")
+
+
+def test_gauges_of_one_name_differ_by_their_labels():
+    telemetry = Telemetry("entry", "e1", "a")
+    for priority in range(2):
+        telemetry.gauge("share_held", lambda value=priority: value / 2, priority=priority)
+    lines = [line for line in render(telemetry) if line.startswith("onyxfork_share_held")]
+    assert ['priority="1"' in line for line in lines] == [False, True]
+    assert [line.split()[-1] for line in lines] == ["0.0", "0.5"]
