--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -69,6 +69,10 @@
 DEMAND_TIME_S = 1.0
 """Time constant of the averages of offered and accepted work."""
 
+MAX_OFFERED_RATIO = 4.0
+"""Bound on offered over accepted work in the demand: bursts bring up to 2.5 times the usual load,
+and refused jobs that return soon add to it."""
+
 MIN_USE = 1.0
 """Thousandths of a core below which a priority counts as unused."""
 
@@ -133,6 +137,27 @@
     return [0.0] * MAX_PRIORITIES
 
 
+def is_current(view, now):
+    """Return whether a worker's latest report tells what all entries hold there."""
+    return bool(view.status.cpu_by_priority) and now - view.reported_at <= MAX_REPORT_AGE_S
+
+
+def held_on(view, now):
+    """Return what each priority holds on a worker; without a current report, this entry's part.
+
+    Returns
+    -------
+    list of float
+        Thousandths of a core by priority.
+    """
+    if is_current(view, now):
+        return view.status.cpu_by_priority[:MAX_PRIORITIES]
+    held = zeros()
+    for task in view.tasks.values():
+        held[priority_index(task.job.priority)] += task.spec.cpu
+    return held
+
+
 @define(eq=False, slots=True)
 class PriorityUse:
     """Use of an entry's known workers by priority, in thousandths of a core.
@@ -163,6 +188,8 @@
         Work of this entry's jobs, with and without refused ones, decaying by `DEMAND_TIME_S`.
     refreshed_at : float or None
         Monotonic seconds of the latest refresh.
+    lower_sums : dict of str to tuple
+        The report of each worker by which `lower_cores` was computed last, and its results.
     """
 
     unit: float = 1000.0
@@ -181,12 +208,14 @@
     offered: list = field(factory=zeros)
     accepted: list = field(factory=zeros)
     refreshed_at: float | None = None
+    lower_sums: dict = field(factory=dict)
 
     # Updates
 
     def refresh(self, views, now):
         """Recompute the sums over the known workers and what follows from them."""
         self.held, self.spare, self.capacity = zeros(), 0.0, 0.0
+        self.lower_sums.clear()
         for view in views:
             if view.is_ready:
                 self.capacity += view.status.cpu
@@ -204,13 +233,8 @@
 
     def add_held(self, view, now):
         """Add what each priority holds on a worker."""
-        reported = view.status.cpu_by_priority
-        if reported and now - view.reported_at <= MAX_REPORT_AGE_S:
-            for index, cpu in enumerate(reported[:MAX_PRIORITIES]):
-                self.held[index] += cpu
-            return
-        for task in view.tasks.values():
-            self.held[priority_index(task.job.priority)] += task.spec.cpu
+        for index, cpu in enumerate(held_on(view, now)):
+            self.held[index] += cpu
 
     def update_averages(self, weight):
         """Move the averages towards the present use by `weight`."""
@@ -227,7 +251,7 @@
     def update_limits(self):
         """Recompute the reserves and the shares."""
         seen = [
-            average >= MIN_USE or offered >= MIN_USE
+            average >= MIN_USE or offered / (1000 * DEMAND_TIME_S) >= MIN_USE
             for average, offered in zip(self.average, self.offered, strict=True)
         ]
         scale = (self.demand / max(1.0, self.capacity) - LIMITED_LOAD) / (FULL_LOAD - LIMITED_LOAD)
@@ -258,8 +282,12 @@
 
     def record_offered(self, job):
         """Count the work of a job that has arrived, and update the average size of a task."""
-        self.offered[priority_index(job.priority)] += job.work
+        index = priority_index(job.priority)
+        self.offered[index] += job.work
         self.unit += 0.1 * (sum(task.spec.cpu for task in job.tasks) / len(job.tasks) - self.unit)
+        if not self.guaranteed[index]:
+            # The first job of a priority is not judged by limits from before it asked.
+            self.update_limits()
 
     def record_accepted(self, job, sign=1):
         """Count the work of an accepted job, or discount it with a sign of -1."""
@@ -272,7 +300,11 @@
         Other entries are assumed to refuse as large a part of each priority as this one.
         """
         return sum(
-            average * max(1.0, offered / accepted) if accepted > 0 else average
+            (
+                average * min(MAX_OFFERED_RATIO, max(1.0, offered / accepted))
+                if accepted > 0
+                else average
+            )
             for average, offered, accepted in zip(
                 self.average, self.offered, self.accepted, strict=True
             )
@@ -284,6 +316,10 @@
             return 0.0
         return max(0, view.cpu_free) // self.unit * self.unit
 
+    def share_held(self, index):
+        """Return the share of the capacity that a priority holds, over all entries."""
+        return round(self.held[index] / self.capacity, 3) if self.capacity else 0.0
+
     # Decisions
 
     def is_contended(self, priority):
@@ -294,12 +330,12 @@
     def has_higher(self, priority):
         """Return whether work of a higher priority uses the known workers."""
         index = priority_index(priority)
-        return any(average >= MIN_USE for average in self.average[:index])
+        return index > 0 and max(self.average[:index]) >= MIN_USE
 
     def has_lower(self, priority):
         """Return whether work of a lower priority uses the known workers."""
-        index = priority_index(priority)
-        return any(average >= MIN_USE for average in self.average[index + 1 :])
+        lower = self.average[priority_index(priority) + 1 :]
+        return bool(lower) and max(lower) >= MIN_USE
 
     @property
     def is_crowded(self):
@@ -340,7 +376,8 @@
         if not self.is_contended(job.priority) or self.spare >= SCARCE_SHARE * self.capacity:
             return 0.0
         index = priority_index(job.priority)
-        return max(0.0, self.held[index] + job.waiting_millicores - self.shares[index])
+        share = max(self.shares[index], self.guaranteed[index])
+        return max(0.0, self.held[index] + job.waiting_millicores - share)
 
     def run_ms_of(self, index):
         """Return the expected run time of tasks of a priority."""
@@ -371,10 +408,25 @@
                 rate += 1000 * cores / self.run_ms_of(index)
         return rate
 
-    def expected_queue_ms(self, millicores, view):
+    def lower_cores(self, view, index, now):
+        """Return what lower priorities than `index` hold on a worker.
+
+        Returns
+        -------
+        int
+            Thousandths of a core.
+        """
+        if not is_current(view, now):
+            return sum(held_on(view, now)[index + 1 :])
+        status = view.status
+        known = self.lower_sums.get(view.node)
+        if known is None or known[0] is not status:
+            held = status.cpu_by_priority[:MAX_PRIORITIES]
+            sums = [sum(held[first:]) for first in range(1, MAX_PRIORITIES + 1)]
+            known = self.lower_sums[view.node] = (status, sums)
+        return known[1][index]
+
+    def expected_queue_ms(self, millicores, view, now):
         """Return the expected time until `millicores` become free on a worker."""
-        rate = sum(
-            cpu / self.run_ms_of(index)
-            for index, cpu in enumerate(view.status.cpu_by_priority[:MAX_PRIORITIES])
-        )
+        rate = sum(cpu / self.run_ms_of(index) for index, cpu in enumerate(held_on(view, now)))
         return millicores / rate if rate > 0 else math.inf
