--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -150,7 +150,7 @@
     return Refusal(reason, max(MIN_RETRY_AFTER_MS, excess_ms), "wait")
 
 
-def check_precedence(job, waiting, free, use, now, max_slack_share=MAX_SLACK_SHARE):
+def check_precedence(job, waiting, free, use, now):
     """Return the `Refusal` of a job while queues of several priorities compete, or None.
 
     Parameters
@@ -162,9 +162,6 @@
     use : PriorityUse
     now : float
         Monotonic seconds.
-    max_slack_share : float
-        Bound on the predicted wait in the absence of priorities. After a start, when it is higher
-        than usual, it holds for the lowest priority too.
     """
     queue, index = job.request.queue, priority_index(job.priority)
     if use.excess_use(job):
@@ -186,10 +183,7 @@
     if use.has_guarantee(job):
         precedes, rate = True, use.release_rate(0)
     wait_s = excess / max(rate, 1.0)
-    lowest_share = LOWEST_SLACK_SHARE
-    if max_slack_share > MAX_SLACK_SHARE:
-        lowest_share = max(max_slack_share, LOWEST_SLACK_SHARE)
-    share = max(max_slack_share, PRECEDING_SLACK_SHARE) if precedes else lowest_share
+    share = PRECEDING_SLACK_SHARE if precedes else LOWEST_SLACK_SHARE
     allowed_s = share * (min(map(job.latest_start, job.tasks)) - now)
     if wait_s <= allowed_s:
         return None
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -213,8 +213,9 @@
             MAX_SLACK_SHARE if now >= self.startup_ends_at else MAX_SLACK_SHARE_AT_STARTUP
         )
         backlog = [*self.waiting_tasks, *queued]
-        if self.use.is_contended(job.priority):
-            refusal = check_precedence(job, backlog, capacity.free, self.use, now, max_slack_share)
+        # After a start capacity is still growing, and shares of it would be too small.
+        if now >= self.startup_ends_at and self.use.limits(job.priority):
+            refusal = check_precedence(job, backlog, capacity.free, self.use, now)
         else:
             refusal = check_admission(job, backlog, capacity, now, max_slack_share)
         if refusal is not None:
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -140,16 +140,14 @@
             self.unblock(job)
 
     def record_run_time(self, task, view, run_ms):
-        """Learn the run time of a task that is done, as on a worker with a run time ratio of 1.
+        """Learn the run time of a task that is done, as on a worker of average speed.
 
-        Where workers differ in speed, a queue whose tasks run on slow ones would otherwise be
-        expected to take long, and these workers would appear fast. Elsewhere a ratio that all
-        workers have in common is an error of the estimates, which is to be corrected.
+        Otherwise a queue whose tasks run on slow workers would be expected to take long, and these
+        workers would appear fast. What all workers have in common is an error of the estimates.
         """
-        is_uneven = view.status is not None and self.run_time_baseline.is_uneven
-        usual_ratio = view.status.usual_run_time_ratio if is_uneven else 1.0
-        queue = task.job.request.queue.name
-        self.estimates.record_run(queue, task.spec.expected_ms, run_ms / usual_ratio)
+        queue = task.job.request.queue
+        usual_ratio = self.run_time_baseline.relative_usual_ratio(view, queue.service)
+        self.estimates.record_run(queue.name, task.spec.expected_ms, run_ms / usual_ratio)
 
     def unblock(self, job):
         """Enqueue the blocked tasks whose dependencies are all done."""
--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -45,6 +45,14 @@
 """The reserve covers the average use of the higher priorities plus this many standard deviations.
 More keeps cores idle, fewer make the highest priority wait."""
 
+MAX_JOB_SHARE = 0.02
+"""No job is refused for its priority while the average job needs a larger share of the capacity.
+One job more or less then exceeds any share or reserve, and cores stay idle in between."""
+
+MAX_RESERVE_SHARE = 0.04
+"""Upper bound on the reserve as a share of the capacity. Where few large jobs make up the use of
+higher priorities, it varies so much that a larger reserve refuses more work than it saves."""
+
 SCARCE_SHARE = 0.08
 """Capacity is scarce while a smaller share of it is free; a limit by share wastes no more."""
 
@@ -76,6 +84,9 @@
 MIN_USE = 1.0
 """Thousandths of a core below which a priority counts as unused."""
 
+SIZE_EMA_WEIGHT = 0.1
+"""Weight of the latest job in the moving averages of sizes."""
+
 UNKNOWN_RUN_MS = 100.0
 """Assumed run time of priorities until this entry has had a run."""
 
@@ -166,6 +177,8 @@
     ----------
     unit : float
         Average size of a task; free capacity counts in whole tasks of this size.
+    mean_need : float
+        Average size of a job, the sum over its tasks.
     spare, capacity : float
         Free capacity and capacity of the ready workers.
     held : list of float
@@ -193,6 +206,7 @@
     """
 
     unit: float = 1000.0
+    mean_need: float = 0.0
     spare: float = 0.0
     capacity: float = 0.0
     held: list = field(factory=zeros)
@@ -262,7 +276,8 @@
             expected = self.higher_average[index]
             expected += RESERVE_DEVIATIONS * math.sqrt(self.higher_variance[index])
             has_guarantee = held < self.guaranteed[index]
-            self.reserve[index] = 0.0 if has_guarantee else scale * max(0.0, expected - higher)
+            reserve = min(MAX_RESERVE_SHARE * self.capacity, max(0.0, expected - higher))
+            self.reserve[index] = 0.0 if has_guarantee else scale * reserve
             higher += held
             if seen[index]:
                 # The demand of lower priorities that are refused elsewhere isn't known here; they
@@ -284,7 +299,9 @@
         """Count the work of a job that has arrived, and update the average size of a task."""
         index = priority_index(job.priority)
         self.offered[index] += job.work
-        self.unit += 0.1 * (sum(task.spec.cpu for task in job.tasks) / len(job.tasks) - self.unit)
+        need = sum(task.spec.cpu for task in job.tasks)
+        self.mean_need += SIZE_EMA_WEIGHT * (need - self.mean_need)
+        self.unit += SIZE_EMA_WEIGHT * (need / len(job.tasks) - self.unit)
         if not self.guaranteed[index]:
             # The first job of a priority is not judged by limits from before it asked.
             self.update_limits()
@@ -327,6 +344,12 @@
         own = priority_index(priority)
         return any(average >= MIN_USE for index, average in enumerate(self.average) if index != own)
 
+    def limits(self, priority):
+        """Return whether a job may be refused for its priority: others compete for scarce cores."""
+        is_scarce = self.demand > LIMITED_LOAD * self.capacity
+        is_divisible = self.mean_need <= MAX_JOB_SHARE * self.capacity
+        return is_scarce and is_divisible and self.is_contended(priority)
+
     def has_higher(self, priority):
         """Return whether work of a higher priority uses the known workers."""
         index = priority_index(priority)
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -1,5 +1,6 @@
 """An entry's view of the workers, from the reports of their agents."""
 
+import math
 from collections import deque
 
 from attrs import define, field
@@ -173,6 +174,8 @@
 
     Attributes
     ----------
+    mean_usual : float
+        Geometric mean of the workers' usual ratios.
     median_recent : float
         Median of the workers' recent ratios.
     median_expected : float
@@ -187,6 +190,7 @@
     """
 
     def __init__(self):
+        self.mean_usual = NEUTRAL_RUN_TIME_RATIO
         self.median_recent = NEUTRAL_RUN_TIME_RATIO
         self.median_expected = NEUTRAL_RUN_TIME_RATIO
         self.is_uneven = False
@@ -197,6 +201,7 @@
         """Recompute the medians over the ready workers of the service."""
         reports = [view.status for view in views]
         changes = [status.run_time_ratio / status.usual_run_time_ratio for status in reports]
+        self.mean_usual = geometric_mean([status.usual_run_time_ratio for status in reports])
         self.median_recent = upper_median([status.run_time_ratio for status in reports])
         expected = sorted(view.ratio for view in views)
         self.median_expected = upper_median(expected)
@@ -209,6 +214,12 @@
         self.slow_worker_share = min(1.0, max(0.0, excess / (HIGH_UTILISATION - LOW_UTILISATION)))
         self.common_change = max(1.0, upper_median(changes))
 
+    def relative_usual_ratio(self, view):
+        """Return a worker's usual ratio relative to the average."""
+        if view.status is None:
+            return 1.0
+        return view.status.usual_run_time_ratio / self.mean_usual
+
     def is_degraded(self, view):
         """Return whether a worker has become slower, or is far slower than the others."""
         status = view.status
@@ -254,6 +265,10 @@
         """Whether the workers of any service differ in speed."""
         return any(baseline.is_uneven for baseline in self.by_service.values())
 
+    def relative_usual_ratio(self, view, service):
+        """Return a worker's usual ratio relative to the average of a service."""
+        return self.of_service(service).relative_usual_ratio(view)
+
     def is_degraded(self, view):
         """Return whether a worker has become slower, or is far slower than the others."""
         return self.of_service(view.status.service).is_degraded(view)
@@ -263,6 +278,13 @@
         return self.of_service(view.status.service).relative_run_time(view)
 
 
+def geometric_mean(values):
+    """Return the geometric mean, or `NEUTRAL_RUN_TIME_RATIO` if there are no values."""
+    if not values:
+        return NEUTRAL_RUN_TIME_RATIO
+    return math.exp(sum(map(math.log, values)) / len(values))
+
+
 def upper_median(values):
     """Return the upper median, or `NEUTRAL_RUN_TIME_RATIO` if there are no values."""
     return sorted(values)[len(values) // 2] if values else NEUTRAL_RUN_TIME_RATIO
