Count lower priorities with what they use in the share of a higher one

The share of a priority left the full guarantee to lower ones that hold little. They now count with the lower of their guarantee and their average use times offered over accepted work.

--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -257,6 +257,7 @@
         scale = (self.demand / max(1.0, self.capacity) - LIMITED_LOAD) / (FULL_LOAD - LIMITED_LOAD)
         scale = min(1.0, max(0.0, scale))
         self.guaranteed = [share * self.capacity for share in guaranteed_shares(seen)]
+        demands_by_priority = list(map(self.demand_of, range(MAX_PRIORITIES)))
         higher = 0.0
         for index, held in enumerate(self.held):
             expected = self.higher_average[index]
@@ -265,9 +266,10 @@
             self.reserve[index] = 0.0 if has_guarantee else scale * max(0.0, expected - higher)
             higher += held
             if seen[index]:
-                # The demand of lower priorities that are refused elsewhere isn't known here; they
-                # count with what they are guaranteed.
-                lower = self.guaranteed[index + 1 :]
+                # Lower priorities count with no more than what they are guaranteed.
+                lower = list(
+                    map(min, self.guaranteed[index + 1 :], demands_by_priority[index + 1 :])
+                )
                 demands = [*self.average[:index], self.capacity, *lower]
                 self.shares[index] = allocate(demands, USABLE_SHARE * self.capacity)[index]
 
@@ -299,16 +301,14 @@
 
         Other entries are assumed to refuse as large a part of each priority as this one.
         """
-        return sum(
-            (
-                average * min(MAX_OFFERED_RATIO, max(1.0, offered / accepted))
-                if accepted > 0
-                else average
-            )
-            for average, offered, accepted in zip(
-                self.average, self.offered, self.accepted, strict=True
-            )
-        )
+        return sum(map(self.demand_of, range(MAX_PRIORITIES)))
+
+    def demand_of(self, index):
+        """Return the part of the demand that is due to a priority."""
+        average, accepted = self.average[index], self.accepted[index]
+        if accepted <= 0:
+            return average
+        return average * min(MAX_OFFERED_RATIO, max(1.0, self.offered[index] / accepted))
 
     def spare_of(self, view):
         """Return the free capacity of a worker in whole tasks of the average size."""
--- a/tests/direct/test_precedence.py
+++ b/tests/direct/test_precedence.py
@@ -25,7 +25,12 @@
 from onyxfork.direct.arbiter import Arbiter  # noqa: E402
 from onyxfork.direct.dispatcher import MAX_SKIPPED_TASKS  # noqa: E402
 from onyxfork.direct.jobs import make_job  # noqa: E402
-from onyxfork.direct.precedence import allocate, priority_index, start_key  # noqa: E402
+from onyxfork.direct.precedence import (  # noqa: E402
+    USABLE_SHARE,
+    allocate,
+    priority_index,
+    start_key,
+)
 from onyxfork.direct.requests import JobRequest, Step  # noqa: E402
 
 MIDDLE = evolve(QUEUE, name="middle", prefix="/m/", priority=1)
@@ -308,3 +313,13 @@
     use.spare, use.shares[2] = 0.0, 0.0
     assert check_precedence(job, [], 0.0, use, 1.0).cause == "over share"
     assert use.share_held(2) == 0.25
+
+
+def test_lower_priority_that_holds_little_leaves_its_guarantee_to_the_highest():
+    """Guards against cores that stay idle for a priority with little demand."""
+    use = full_dispatcher(4, [8000]).use
+    use.offered[2] = 1e6
+    use.average[2] = 800.0
+    use.accepted[2] = 0.5e6
+    use.update_limits()
+    assert use.shares[0] == pytest.approx(USABLE_SHARE * 32000.0 - 1600.0)
