--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -49,7 +49,7 @@
 """No job is refused for its priority while the average job needs a larger share of the capacity.
 One job more or less then exceeds any share or reserve, and cores stay idle in between."""
 
-MAX_RESERVE_SHARE = 0.04
+MAX_RESERVE_SHARE = 0.1
 """Upper bound on the reserve as a share of the capacity. Where few large jobs make up the use of
 higher priorities, it varies so much that a larger reserve refuses more work than it saves."""
 
