Queue at full workers by the baseline of the task's service

Cause: after the merge of the baselines by service the search for a full worker read a field that the table of baselines does not have, and failed where workers differ in speed. Change: it takes the service's baseline.

--- a/onyxfork/direct/precedence_placement.py
+++ b/onyxfork/direct/precedence_placement.py
@@ -34,7 +34,8 @@
     """
     step, index = task.spec, priority_index(task.job.priority)
     has_guarantee = use.has_guarantee(task.job)
-    timely_ratio = longest_accepted_ratio(task, baseline, now)
+    service_baseline = baseline.of_service(task.job.request.queue.service)
+    timely_ratio = longest_accepted_ratio(task, service_baseline, now)
     best, best_cost = None, float("inf")
     for view in views:
         status = view.status
@@ -57,6 +58,8 @@
 def longest_accepted_ratio(task, baseline, now):
     """Return the highest run time ratio of workers that placement accepts for a task.
 
+    `baseline` is the `ServiceBaseline` of the task's service.
+
     Placement prefers to wait for a worker on which the task would be on time.
     """
     if not baseline.is_uneven or task.spec.label or task.spec.rack:
