--- a/onyxfork/direct/entry_load.py
+++ b/onyxfork/direct/entry_load.py
@@ -18,7 +18,7 @@
 
 GOOD_DELAY_MS = 30.0
 """A delay below this counts as none. Ticks are 20 ms apart: a smaller one is about a single late
-tick, which is no evidence of load. In trials at saturation, 60 ms served fewer jobs on time."""
+tick, which is no evidence of load."""
 
 BAD_DELAY_MS = 100.0
 """A delay above this uses up the slack of the shortest jobs."""
--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -57,8 +57,8 @@
 """Capacity is scarce while a smaller share of it is free; a limit by share wastes no more."""
 
 USABLE_SHARE = 0.94
-"""Share of the capacity that is allocated; the rest is remainders that no task fits. With 1.0 a
-flood of low-priority jobs takes these cores from higher priorities, with 0.9 cores stay idle."""
+"""Share of the capacity that is allocated; the rest is remainders that no task fits, which a flood
+of low-priority jobs would otherwise take from higher priorities."""
 
 CROWDED_SHARE = 0.1
 """While a smaller share of the capacity is free, entries that choose by the same reports often
@@ -145,6 +145,7 @@
 
 
 def zeros():
+    """Return a list with a zero for each priority."""
     return [0.0] * MAX_PRIORITIES
 
 
--- a/onyxfork/direct/return_times.py
+++ b/onyxfork/direct/return_times.py
@@ -33,8 +33,7 @@
 
 TARGET_LOAD = 0.85
 """Share of capacity up to which returns are booked beside the demand of new jobs. Arrivals vary
-from second to second: with 0.9, the load after a burst reached 1.12 of capacity in one of five
-trials."""
+from second to second, and the load must stay below 1.1 of capacity."""
 
 MIN_ROOM_SHARE = 0.1
 """Least share of capacity that is booked for returning callers. With new jobs at capacity, the load
