--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -319,6 +319,9 @@
         else:
             raise ProtocolError(f"unexpected {type(message).__name__}")
         self.apply_decisions()
+        if isinstance(message, Resume):
+            # The entry places nothing here before its first report.
+            self.send_status_to(session)
 
     async def tick_periodically(self):
         """Call the arbiter's `tick` at a fixed interval."""
