Admit jobs by the release of cores over the whole fleet

Cause: a job's predicted wait was this entry's waiting work over the cores of its own runs.

Change: the cores that are missing, runs of all entries queued at agents included, over the rate at which all runs on sound workers of the service release cores; from the agents' reports. The highest priority beside others may wait half of its slack, others a tenth, since later arrivals of higher priorities start first. Sums of speed and work in use go.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -1,9 +1,8 @@
 """Admission control: which jobs are accepted when there is more work than capacity.
 
-Waiting tasks start in the order of their latest start. A job is accepted if its tasks can start in
-time after the work that is due before them, at the rate at which the cores available to this entry
-complete work. A job with little slack is therefore accepted even if much work with more slack is
-waiting.
+Waiting tasks start by priority and then by latest start. A job is accepted if its tasks can start
+in time after the tasks ahead of them, at the rate at which runs of all entries release cores. A job
+with little slack is therefore accepted even if much work with more slack is waiting.
 """
 
 from attrs import define
@@ -14,6 +13,7 @@
     "MIN_RETRY_AFTER_MS",
     "MAX_SLACK_SHARE",
     "MAX_SLACK_SHARE_AT_STARTUP",
+    "MAX_SLACK_SHARE_OF_HIGHEST",
     "Capacity",
     "Refusal",
     "predicted_wait_s",
@@ -21,12 +21,17 @@
     "check_precedence",
 ]
 
-MAX_SLACK_SHARE = 0.3
+MAX_SLACK_SHARE = 0.1
 """Upper bound on a job's predicted wait, as a share of its slack. The rest covers later arrivals
-with less slack, which start first, wrong estimates and slow workers. If a job waits longer,
-some of its tasks run in time and one is late, which wastes the cores that all of them use."""
+with less slack or a higher priority, which start first, wrong estimates and slow workers. If a job
+waits longer, some of its tasks run in time and one is late, which wastes the cores that all of them
+use."""
 
-MAX_SLACK_SHARE_AT_STARTUP = 0.6
+MAX_SLACK_SHARE_OF_HIGHEST = 0.5
+"""The same bound for a job of the highest priority beside others: its tasks start before all that
+arrive later with a lower one."""
+
+MAX_SLACK_SHARE_AT_STARTUP = 0.65
 """The same bound while workers reconnect after a start, when capacity is still growing."""
 
 MIN_RETRY_AFTER_MS = 1000.0
@@ -65,21 +70,21 @@
 
 @define(slots=True)
 class Capacity:
-    """What an entry can use, in thousandths of a core.
+    """What the workers of a job's service offer, in thousandths of a core.
 
     Parameters
     ----------
-    running : float
-        Used by this entry's runs that have started, or are about to.
     free : float
         Free now, counted in whole tasks of the job's size on the workers that such a task fits.
-    mean_run_ms : float
-        Mean expected run time of the tasks that use `running`.
+    queued : float
+        Needed by the runs of all entries that are queued at agents.
+    released_per_s : float
+        Released per second by the runs of all entries.
     """
 
-    running: float
     free: float
-    mean_run_ms: float
+    queued: float
+    released_per_s: float
 
 
 def predicted_wait_s(job, waiting, capacity):
@@ -89,36 +94,30 @@
     ----------
     job : Job
     waiting : iterable of Task
-        Tasks of this entry that wait for free capacity, here or at an agent.
+        Tasks of this entry that wait for free capacity.
     capacity : Capacity
 
     Returns
     -------
     float
-        Seconds; 0 when nothing waits, or when what waits and the job fit into what is free.
+        Seconds; 0 if what waits and the job fit into what is free.
 
     Notes
     -----
-    Late tasks count although they start after this job's tasks: they belong to jobs that have
-    already started, and as long as there are any, more work has been accepted than there is
-    capacity for. A single task starts as soon as there is free capacity; the last of several also
-    waits until runs have ended on as many cores as the job needs.
+    The cores that are missing become available as runs end, those that start now on free cores
+    included. Late tasks count although they start after this job's tasks: they belong to jobs that
+    have already started, and as long as there are any, more work has been accepted than there is
+    capacity for.
     """
-    own_key = min(job.start_key(task) for task in job.tasks)
-    work_millicore_ms = millicores_ahead = 0.0
-    for task in waiting:
-        if task.job.start_key(task) <= own_key:
-            work_millicore_ms += task.spec.cpu * task.expected_ms
-            millicores_ahead += task.spec.cpu
-    if not millicores_ahead:
-        return 0.0
-    own_millicores = sum(task.spec.cpu for task in job.tasks)
-    excess = millicores_ahead + own_millicores - capacity.free
-    if excess <= 0:
+    own_key = min(map(job.start_key, job.tasks))
+    needed = job.waiting_millicores + capacity.queued
+    needed += sum(task.spec.cpu for task in waiting if task.job.start_key(task) <= own_key)
+    missing = needed - capacity.free
+    if missing <= 0:
         return 0.0
-    if len(job.tasks) > 1:
-        work_millicore_ms += capacity.mean_run_ms * min(own_millicores, excess)
-    return work_millicore_ms / max(capacity.running + capacity.free, 1.0) / 1000
+    run_ms = max(1.0, max(task.expected_ms for task in job.tasks))
+    released_per_s = capacity.released_per_s + 1000 * capacity.free / run_ms
+    return missing / max(released_per_s, 1.0)
 
 
 def check_admission(job, waiting, capacity, now, max_slack_share=MAX_SLACK_SHARE):
@@ -138,7 +137,7 @@
     -------
     Refusal or None
     """
-    if not waiting:
+    if not waiting and not capacity.queued:
         return None
     wait_s = predicted_wait_s(job, waiting, capacity)
     slack_s = min(job.latest_start(task) for task in job.tasks) - now
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -17,6 +17,7 @@
 from onyxfork.direct.admission import (
     MAX_SLACK_SHARE,
     MAX_SLACK_SHARE_AT_STARTUP,
+    MAX_SLACK_SHARE_OF_HIGHEST,
     MAX_UNTRIED_SLACK_SHARE,
     MIN_RETRY_AFTER_MS,
     Capacity,
@@ -31,6 +32,7 @@
 from onyxfork.direct.placement import (
     CROWDED_JITTER_SHARE,
     JITTER_SHARE,
+    PROBATION_FAILURE_SHARE,
     can_ever_run,
     choose_worker,
     timely_workers,
@@ -111,10 +113,6 @@
         last so (monotonic seconds); `ANY_LABEL` stands for all workers.
     millicores_in_use : int
         Thousandths of a core that are reserved by runs at agents.
-    speed_in_use : float
-        The same times the usual speed of each run's worker.
-    work_in_use : float
-        `millicores_in_use` times the expected run time of each run, in milliseconds.
     recovery_ends_at, startup_ends_at : float
         Monotonic seconds until which agents may still be connecting: after the start of the process
         or the loss of an agent, and after the start only.
@@ -148,8 +146,6 @@
         self.run_time_baseline = RunTimeBaseline()
         self.estimates = EstimateTable()
         self.millicores_in_use = 0
-        self.speed_in_use = 0.0
-        self.work_in_use = 0.0
         self.orders = {}
         self.withdrawals = {}
         self.recalls = {}
@@ -203,26 +199,50 @@
                 self.record_shortage(step, now)
                 return Refusal(f"step {position} fits no worker")
         self.use.record_offered(job)
-        queued = self.tasks_queued_at_agents(now)
-        capacity = Capacity(
-            self.speed_in_use - sum(task.spec.cpu * task.speed for task in queued),
-            self.free_millicores(job, views),
-            self.work_in_use / max(1, self.millicores_in_use),
-        )
-        max_slack_share = (
-            MAX_SLACK_SHARE if now >= self.startup_ends_at else MAX_SLACK_SHARE_AT_STARTUP
-        )
-        backlog = [*self.waiting_tasks, *queued]
+        capacity = self.admission_capacity(job, views)
         # After a start capacity is still growing, and shares of it would be too small.
         if now >= self.startup_ends_at and self.use.limits(job.priority):
+            backlog = [*self.waiting_tasks, *self.tasks_queued_at_agents(now)]
             refusal = check_precedence(job, backlog, capacity.free, self.use, now)
         else:
-            refusal = check_admission(job, backlog, capacity, now, max_slack_share)
+            max_share = self.max_slack_share(job, now)
+            refusal = check_admission(job, self.waiting_tasks, capacity, now, max_share)
         if refusal is not None:
             for step in job.request.steps:
                 self.record_shortage(step, now)
         return refusal
 
+    def max_slack_share(self, job, now):
+        """Return the upper bound on a job's predicted wait, as a share of its slack."""
+        if now < self.startup_ends_at:
+            return MAX_SLACK_SHARE_AT_STARTUP
+        is_highest = not self.use.has_higher(job.priority)
+        if is_highest and self.use.has_lower(job.priority):
+            return MAX_SLACK_SHARE_OF_HIGHEST
+        return MAX_SLACK_SHARE
+
+    def admission_capacity(self, job, views):
+        """Return the `Capacity` of the ready workers of a job's service.
+
+        Degraded and failing workers are left out: an entry places at most one task at a time there.
+        """
+        service = job.request.queue.service
+        usable = [
+            view
+            for view in views
+            if view.status.service == service
+            and view.status.failure_share < PROBATION_FAILURE_SHARE
+            and not self.run_time_baseline.is_degraded(view)
+        ]
+        if self.run_time_baseline.is_uneven:
+            usable = timely_workers(job, usable, self.run_time_baseline)
+        used = sum(view.status.cpu - max(0, view.cpu_free) for view in usable)
+        return Capacity(
+            self.free_millicores(job, usable),
+            sum(view.cpu_queued for view in usable),
+            self.use.released_share_per_s * used,
+        )
+
     def free_millicores(self, job, views):
         """Return the free capacity in whole tasks of the job's largest step.
 
@@ -405,10 +425,7 @@
         self.use.count(task, 1)
         view.tasks[task.ref.key] = task
         self.unstarted_tasks.add(task)
-        task.speed = 1 / view.status.usual_run_time_ratio
         self.millicores_in_use += task.spec.cpu
-        self.speed_in_use += task.spec.cpu * task.speed
-        self.work_in_use += task.spec.cpu * task.expected_ms
         self.orders.setdefault(view.node, []).append(task.order(now))
 
     def withdraw(self, task):
@@ -425,8 +442,6 @@
             view.tasks.pop(task.ref.key, None)
         self.millicores_in_use -= task.spec.cpu
         self.use.count(task, -1)
-        self.speed_in_use -= task.spec.cpu * task.speed
-        self.work_in_use -= task.spec.cpu * task.expected_ms
 
     def recall_queued_runs(self, now):
         """Recall runs queued at overcommitted agents while others have free capacity for them."""
--- a/onyxfork/direct/jobs.py
+++ b/onyxfork/direct/jobs.py
@@ -50,8 +50,6 @@
         Runs of which a start event has arrived.
     run_ms : float
         Measured run time of the run that was done; 0 before.
-    speed : float
-        Usual speed of the worker of the latest run, when it was placed there.
     """
 
     job: "Job"
@@ -73,7 +71,6 @@
     suspected: int = 0
     started_runs: int = 0
     run_ms: float = 0.0
-    speed: float = 1.0
 
     def record_crashes(self, count):
         """Raise the numbers of crashes to those of a `CrashCount`."""
--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -87,6 +87,9 @@
 SIZE_EMA_WEIGHT = 0.1
 """Weight of the latest job in the moving averages of sizes."""
 
+MIN_RUN_MS = 1.0
+"""Lower bound on expected run times, so that release rates stay finite."""
+
 UNKNOWN_RUN_MS = 100.0
 """Assumed run time of priorities until this entry has had a run."""
 
@@ -188,10 +191,10 @@
         Moving average of `held`.
     higher_average, higher_variance : list of float
         Moving average and variance of what all higher priorities hold.
-    own, own_work : list of float
-        Held by this entry's tasks, and the same times their expected run time in milliseconds.
+    own, own_released : list of float
+        Held by this entry's tasks, and what they release per millisecond while they run.
     run_ms : list of float
-        Average run time of the tasks of each priority; 0 if this entry has had none.
+        Cores held over cores released per millisecond, by priority; 0 if this entry has had none.
     reserve : list of float
         Cores that a job of each priority leaves free for higher ones.
     guaranteed : list of float
@@ -215,7 +218,7 @@
     higher_average: list = field(factory=zeros)
     higher_variance: list = field(factory=zeros)
     own: list = field(factory=zeros)
-    own_work: list = field(factory=zeros)
+    own_released: list = field(factory=zeros)
     run_ms: list = field(factory=zeros)
     reserve: list = field(factory=zeros)
     guaranteed: list = field(factory=zeros)
@@ -293,10 +296,10 @@
         """Add a task that is placed to this entry's use, or subtract it with a sign of -1."""
         index, cpu = priority_index(task.job.priority), task.spec.cpu
         self.own[index] += sign * cpu
-        self.own_work[index] += sign * cpu * task.expected_ms
+        self.own_released[index] += sign * cpu / max(MIN_RUN_MS, task.expected_ms)
         self.held[index] += sign * cpu
-        if self.own[index]:
-            self.run_ms[index] = self.own_work[index] / self.own[index]
+        if self.own[index] and self.own_released[index] > 0:
+            self.run_ms[index] = self.own[index] / self.own_released[index]
 
     def record_offered(self, job):
         """Count the work of a job that has arrived, and update the average size of a task."""
@@ -432,6 +435,15 @@
                 rate += 1000 * cores / self.run_ms_of(index)
         return rate
 
+    @property
+    def released_share_per_s(self):
+        """Share of the cores in use that runs of all entries release per second."""
+        held = sum(self.held)
+        if held <= 0:
+            return 1000 / UNKNOWN_RUN_MS
+        released = (cpu / self.run_ms_of(index) for index, cpu in enumerate(self.held) if cpu > 0)
+        return 1000 * sum(released) / held
+
     def lower_cores(self, view, index, now):
         """Return what lower priorities than `index` hold on a worker.
 
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -94,6 +94,18 @@
         """Free thousandths of a core, less orders in flight."""
         return self.status.cpu_free - self.pending_cpu
 
+    @property
+    def cpu_queued(self):
+        """Thousandths of a core that runs queued at the agent need, by all entries.
+
+        What running work uses beyond a capacity that has shrunk is not queued.
+        """
+        held = sum(self.status.cpu_by_priority)
+        excess = -self.cpu_free
+        if held:
+            excess = min(excess, held + self.pending_cpu - self.status.cpu)
+        return max(0, excess)
+
     def fits_when_empty(self, step):
         """Return whether a task of `step` fits the worker's whole capacity and its labels."""
         status = self.status
--- a/tests/direct/builders.py
+++ b/tests/direct/builders.py
@@ -25,6 +25,7 @@
     failure_share=0.0,
     labels=(),
     usual_run_time_ratio=1.0,
+    cpu_by_priority=(),
 ):
     return WorkerStatus(
         "w1",
@@ -40,6 +41,7 @@
         run_time_ratio,
         failure_share,
         list(labels),
+        cpu_by_priority=list(cpu_by_priority),
         usual_run_time_ratio=usual_run_time_ratio,
     )
 
--- a/tests/direct/test_admission.py
+++ b/tests/direct/test_admission.py
@@ -55,6 +55,35 @@
     assert not isinstance(result, Refusal)
 
 
+def test_wait_follows_from_what_runs_of_all_entries_release():
+    """Other entries' runs use all sixteen cores, and one more is queued. Runs of 100 ms release 160
+    cores a second, so that eight tasks start within a tenth of their slack and sixty do not."""
+    dispatcher = make_dispatcher(now=-10.0, cpu_free=0, cpu=16000)
+    queued = make_status(cpu_free=-1000, cpu=16000, cpu_by_priority=[17000])
+    dispatcher.on_status("s1", queued, 0.0)
+    dispatcher.tick(0.01)
+    job = make_request("00000000000000b1", tasks=8, ms=1000.0)
+    assert not isinstance(dispatcher.submit(job, 0.02), Refusal)
+    wide = make_request("00000000000000b2", tasks=60, ms=1000.0)
+    assert isinstance(dispatcher.submit(wide, 0.02), Refusal)
+
+
+def test_running_work_beyond_a_shrunk_capacity_is_not_queued():
+    shrunk = make_status(cpu_free=-12000, cpu=16000, cpu_by_priority=[16000])
+    dispatcher = make_dispatcher()
+    dispatcher.on_status("s1", shrunk, 0.0)
+    assert dispatcher.workers["s1"].cpu_queued == 0
+
+
+def test_free_cores_of_a_failing_worker_do_not_count():
+    """Its entry places at most one task there at a time."""
+    dispatcher = make_dispatcher(("s1", "s2"), cpu_free=0, cpu=4000)
+    dispatcher.on_status("s1", make_status(cpu_free=4000, cpu=4000, failure_share=0.4), 0.0)
+    dispatcher.on_status("s2", make_status(cpu_free=-1000, cpu=4000), 0.0)
+    refusal = dispatcher.submit(make_request(tasks=4, ms=100.0), 0.0)
+    assert isinstance(refusal, Refusal)
+
+
 def test_remainders_that_no_task_fits_do_not_count_as_free():
     """Ten workers with half a core free each have no room for a task of one core."""
     dispatcher = make_dispatcher([f"s{number}" for number in range(10)], cpu_free=500)
