Filter workers by speed once in admission, and use one bound on expected run times

Cause: admission_capacity and free_millicores both left out the workers on which a job would be late, and the bound of 1 ms stood twice more beside workers.MIN_EXPECTED_MS. Change: free_millicores counts what it is given; the constant is shared.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -8,6 +8,7 @@
 from attrs import define
 
 from onyxfork.direct.precedence import priority_index
+from onyxfork.direct.workers import MIN_EXPECTED_MS
 
 __all__ = [
     "MIN_RETRY_AFTER_MS",
@@ -115,7 +116,7 @@
     missing = needed - capacity.free
     if missing <= 0:
         return 0.0
-    run_ms = max(1.0, max(task.expected_ms for task in job.tasks))
+    run_ms = max(MIN_EXPECTED_MS, max(task.expected_ms for task in job.tasks))
     released_per_s = capacity.released_per_s + 1000 * capacity.free / run_ms
     return missing / max(released_per_s, 1.0)
 
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -225,6 +225,7 @@
         """Return the `Capacity` of the ready workers of a job's service.
 
         Degraded and failing workers are left out: an entry places at most one task at a time there.
+        Where workers differ in speed, those count on which the job would be on time.
         """
         service = job.request.queue.service
         usable = [
@@ -244,13 +245,8 @@
         )
 
     def free_millicores(self, job, views):
-        """Return the free capacity in whole tasks of the job's largest step.
-
-        Where workers differ in speed, those count on which the job would be on time.
-        """
+        """Return the free capacity of workers in whole tasks of the job's largest step."""
         step = max(job.request.steps, key=lambda step: step.cpu)
-        if self.run_time_baseline.is_uneven:
-            views = timely_workers(job, views, self.run_time_baseline)
         if not step.cpu:
             return sum(max(0, view.cpu_free) for view in views)
         fitting = (view.cpu_free // step.cpu for view in views if view.fits_now(step))
--- a/onyxfork/direct/precedence.py
+++ b/onyxfork/direct/precedence.py
@@ -10,6 +10,8 @@
 
 from attrs import define, field
 
+from onyxfork.direct.workers import MIN_EXPECTED_MS
+
 __all__ = [
     "MAX_PRIORITIES",
     "OVERDUE_PENALTY_S",
@@ -87,9 +89,6 @@
 SIZE_EMA_WEIGHT = 0.1
 """Weight of the latest job in the moving averages of sizes."""
 
-MIN_RUN_MS = 1.0
-"""Lower bound on expected run times, so that release rates stay finite."""
-
 UNKNOWN_RUN_MS = 100.0
 """Assumed run time of priorities until this entry has had a run."""
 
@@ -296,7 +295,7 @@
         """Add a task that is placed to this entry's use, or subtract it with a sign of -1."""
         index, cpu = priority_index(task.job.priority), task.spec.cpu
         self.own[index] += sign * cpu
-        self.own_released[index] += sign * cpu / max(MIN_RUN_MS, task.expected_ms)
+        self.own_released[index] += sign * cpu / max(MIN_EXPECTED_MS, task.expected_ms)
         self.held[index] += sign * cpu
         if self.own[index] and self.own_released[index] > 0:
             self.run_ms[index] = self.own[index] / self.own_released[index]
