--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -431,7 +431,7 @@
 
 
 def route(name, prefix, priority=1, attempts=3):
-    return {"name": name, "host": HOST, "pathPrefix": prefix, "type": "unsafe", "timeoutMs": 30000,
+    return {"name": name, "host": HOST, "pathPrefix": prefix, "type": "unsafe", "timeoutMs": 20000,
             "targetLatencyMs": 60, "priority": priority, "service": SERVICE,
             "attempts": attempts, "stretch": 1.6}  # fmt: skip
 
