--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,10 +1,9 @@
-"""An entry is stopped as planned; a client on an open channel sends it one more job."""
+"""Workers are cut off for a moment, crash behind the cut and start again under their ids."""
 
 import asyncio
 import json
-import signal
+import random
 import sys
-import time
 from contextlib import suppress
 from pathlib import Path
 
@@ -12,61 +11,128 @@
 sys.path.insert(0, str(HERE.parent / "common"))
 import rig as rigs  # noqa: E402
 
-EARLY, LATE = "aaaaaaaaaaaaaaaa", "bbbbbbbbbbbbbbbb"
-LATE_SENT_S = 3.25  # after the SIGTERM; what is sent by 3 s after it is excused in part
-TASKS, TASK_MS, CPU = 48, 500, 1000  # two minions of 4 cores: eight tasks at a time, six waves
-
-
-async def send(rig, channel, job, steps, spec, deadline_ms):
-    """Send a job on an open channel; return its status, or None if the channel ends before."""
-    reader, writer = channel
-    body = json.dumps({"spec": spec, "bestEffort": True, "steps": steps}).encode()
-    head = [f"POST {rigs.PREFIX}{job} HTTP/1.1", f"Host: {rigs.HOST}",
-            "Content-Type: application/json", f"X-Deadline: {deadline_ms}",
-            f"Content-Length: {len(body)}"]  # fmt: skip
-    rig.record(f"client: POST {job} on its open channel to edge-0")
-    try:
-        writer.write(("\r\n".join(head) + "\r\n\r\n").encode() + body)
-        async with asyncio.timeout(deadline_ms / 1000):
-            first, _, answer = await rigs.read_message(reader)
-    except TimeoutError:
-        rig.record(f"client: {job} -> the time limit is reached")
-        return "time limit"
-    except (OSError, asyncio.IncompleteReadError) as error:
-        rig.record(f"client: {job} -> the channel ends without an answer ({type(error).__name__})")
-        return None
-    rig.record(f"client: {job} -> {first} {answer.decode()[:200]}")
-    return int(first.split()[1])
+CUT_S, CRASH_AT_S, BACK_AT_S = 0.4, 0.1, 0.2  # of a cut: its length; when the minion goes and comes
+CUTS, PAUSE_S = 12, 3.0
+SYN_RETRY_S = 1.0  # a first packet that is lost is sent again after a second
+JOBS_PER_S, TASKS, TASK_MS, CPU = 20, 4, 500, 2000
+
+
+class CutMinion(rigs.Minion):
+    """A minion behind a proxy that can drop everything between it and its machine's agent."""
+
+    is_cut = False
+
+    async def open_proxy(self):
+        self.outer_port, self.app_port = self.app_port, self.rig.ports[3] + 1
+        self.pairs = set()
+        await asyncio.start_server(self.relay, self.host, self.outer_port)
+
+    async def relay(self, reader, writer):
+        """Carry one channel from the agent to the minion."""
+        if self.is_cut:
+            # Opened during the cut: its first packet comes again after a second; if the caller has
+            # given up by then, nothing of it has reached the minion.
+            closed = asyncio.create_task(wait_closed(reader))
+            await asyncio.wait({closed}, timeout=SYN_RETRY_S)
+            writer.transport.abort()
+            return
+        try:
+            to_reader, to_writer = await asyncio.open_connection(self.host, self.app_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, to_writer)
+        self.pairs.add(pair)
+        try:
+            await asyncio.wait(
+                {asyncio.create_task(self.pump(reader, to_writer, pair)),
+                 asyncio.create_task(self.pump(to_reader, writer, pair))},
+                return_when=asyncio.FIRST_COMPLETED,
+            )  # fmt: skip
+        finally:
+            if not self.is_cut:
+                self.drop(pair)
+
+    async def pump(self, reader, writer, pair):
+        with suppress(OSError):
+            while data := await reader.read(65536):
+                if self.is_cut or pair not in self.pairs:
+                    await asyncio.sleep(3600)
+                writer.write(data)
+
+    def drop(self, pair):
+        self.pairs.discard(pair)
+        for writer in pair:
+            writer.transport.abort()
+
+    async def cut(self):
+        """Cut the minion off; meanwhile it crashes and begins another life."""
+        self.rig.record(f"{self.name}: its minion is cut off")
+        self.is_cut = True
+        await asyncio.sleep(CRASH_AT_S)
+        self.crash()
+        await asyncio.sleep(BACK_AT_S - CRASH_AT_S)
+        await self.begin()
+        await asyncio.sleep(CUT_S - BACK_AT_S)
+        self.is_cut = False
+        for pair in list(self.pairs):  # the life that had these channels is gone: reset
+            self.drop(pair)
+        self.rig.record(f"{self.name}: the cut has healed")
+
+    async def report(self):
+        if self.is_cut:
+            await asyncio.sleep(SYN_RETRY_S)
+        return await super().report()
+
+
+async def wait_closed(reader):
+    with suppress(OSError):
+        while await reader.read(65536):
+            pass
 
 
 async def case(rig):
-    host, front = rig.hosts["edge-0"], rig.ports[0]
-    early = await asyncio.open_connection(host, front)
-    late = await asyncio.open_connection(host, front)
-    long_step = [{"count": 1, "cpu": CPU, "memMb": 64, "estimatedMs": 3600}]
-    wide_step = [{"count": TASKS, "cpu": CPU, "memMb": 64, "estimatedMs": TASK_MS}]
-    long_spec = json.dumps({"ms": 3600, "cpu": CPU})
-    wide_spec = json.dumps({"ms": TASK_MS, "cpu": CPU})
-    first = asyncio.create_task(send(rig, early, EARLY, long_step, long_spec, 10000))
-    await asyncio.sleep(0.1)
-    began = time.monotonic()
-    if rigs.TROUBLE:
-        rig.signal("edge-0", signal.SIGTERM)
-    await asyncio.sleep(LATE_SENT_S - (time.monotonic() - began))
-    status = await send(rig, late, LATE, wide_step, wide_spec, 10000)
-    ended = time.monotonic() - began
-    await first
-    with suppress(Exception):
-        await asyncio.to_thread(rig.processes["edge-0"].wait, 2 if rigs.TROUBLE else 0.1)
-    code = rig.processes["edge-0"].poll()
-    rig.record(f"edge-0 has exited: {code is not None} (status {code})")
-    started = [run for run in rig.runs if run.task.startswith(LATE)]
-    if status is None and started and ended <= rigs.GRACE_S + 1:
-        return [
-            f"LOST: the entry had read {LATE}, {len(started)} of its {TASKS} tasks were started, "
-            f"and its channel ended without an answer {ended:.2f} s after the SIGTERM"
+    rng = random.Random(3)
+    clients = set()
+
+    async def client():
+        job = f"{rng.getrandbits(64):016x}"
+        step = {"count": TASKS, "cpu": CPU, "memMb": 64, "estimatedMs": TASK_MS}
+        spec = json.dumps({"ms": TASK_MS, "cpu": CPU})
+        for _ in range(3):
+            entry = rng.choice(rig.names["entry"])
+            status, _ = await rig.post(entry, job, [step], spec, 4000)
+            if status not in (None, 502, 504):
+                return
+            await asyncio.sleep(rigs.RESEND_S)
+
+    async def load():
+        while True:
+            task = asyncio.create_task(client())
+            clients.add(task)
+            task.add_done_callback(clients.discard)
+            await asyncio.sleep(rng.expovariate(JOBS_PER_S))
+
+    loader = asyncio.create_task(load())
+    for turn in range(CUTS):
+        await asyncio.sleep(PAUSE_S)
+        if rigs.TROUBLE:
+            await rig.minions[turn % len(rig.minions)].cut()
+    await asyncio.sleep(PAUSE_S)
+    loader.cancel()
+    await asyncio.sleep(5)
+    found = rigs.find_twice(rig.runs, rig.record.now())
+    for one, other, overlap_s in found:
+        texts = [
+            f"run {run.run} at {run.minion}/{run.lifetime}, {run.started:.4f} to {run.ended:.4f} s "
+            f"({run.how})"
+            for run in (one, other)
         ]
-    return []
+        rig.record(f"TWICE {one.task}: {texts[0]}; {texts[1]}; {overlap_s * 1000:.1f} ms")
+    if not found:
+        return []
+    longest = max(overlap_s for *_, overlap_s in found)
+    return [f"TWICE: {len(found)} tasks ran twice at the same time, for {longest:.3f} s at most"]
 
 
-rigs.main(case, HERE, controls=1, entries=1, minions=2, cpu=4000)
+rigs.main(case, HERE, controls=1, entries=2, minions=6, minion_class=CutMinion)
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,4 @@
 #!/bin/sh
-# The stand-ins of the cases are Python files that need only the standard library: nothing to build.
-# The project itself is built by the deploy file (target/deps).
-cd "$(dirname "$0")/.." || exit 2
-exec python3 -m compileall -q review/common
+# The stand-ins of the cases are Python files that need the standard library only: there is nothing
+# to build. The project itself is built by the deploy file (target/deps). Checks the version.
+exec python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
