A run of a restarted worker's new lifetime is not lost with the former one

Cause: an agent credited every answer to the lifetime that it knew. Its orders to start were carried out by the new lifetime, whose identifier is the same; the next list of runs, or a report, showed the later start, and the agent finished all runs as lost with the former lifetime, those that the new one had just begun as well. Entries started them again elsewhere, and nobody could stop the first runs before the next report.

Change: another lifetime begins only when the worker itself has answered a request for its lists under a higher fencing token. Orders that are still on their way are refused by that token, so what neither the lists nor a later order names is over; what they name goes on, unanswered starts and stops are settled in the new lifetime, and its lease and lists are followed before its first report.

The worker in tests/direct/test_path.py now states its identifier and start as a real one does.

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -27,6 +27,7 @@
     Withdraw,
     restore_specs,
 )
+from onyxfork.direct.runs import DRAINING
 from onyxfork.direct.worker_driver import WorkerDriver
 from onyxfork.errors import OnyxforkError, ProtocolError
 from onyxfork.messages import open_connection, serve
@@ -91,6 +92,10 @@
         Entries that have lost their connection to this agent.
     takeover_complete : asyncio.Event
         Set once the worker runs nothing that an earlier agent ordered.
+    lifetime_begun : asyncio.Event
+        Set when a lifetime of the worker begins.
+    successor_known : asyncio.Event
+        Set when another lifetime of the worker may have begun.
     port : int or None
         Port at which entries are accepted, None before that.
     status_timer : asyncio.TimerHandle or None
@@ -115,7 +120,8 @@
         self.last_end = 0
         self.missed_renewals = 0
         self.takeover_complete = asyncio.Event()
-        self.worker_known = asyncio.Event()
+        self.lifetime_begun = asyncio.Event()
+        self.successor_known = asyncio.Event()
         self.port = None
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
         telemetry.gauge("runs_held", lambda: len(self.arbiter.runs))
@@ -373,7 +379,7 @@
         self.stopping = True
         arbiter = self.arbiter
         if arbiter.worker is not None:
-            arbiter.worker.state = "draining"
+            arbiter.worker.state = DRAINING
             arbiter.return_queued("draining", self.clock.now())
             arbiter.changed = True
         self.apply_decisions()
@@ -401,6 +407,7 @@
         agent.spawn = spawn
         spawn(agent.keep_lease())
         spawn(agent.watch_lists())
+        spawn(agent.watch_successor())
         spawn(agent.tick_periodically())
         spawn(agent.control.run(spawn))
         spawn(serve_after_takeover(agent))
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -27,6 +27,8 @@
     median_run_time_ratio,
 )
 from onyxfork.direct.runs import (
+    ABSENT,
+    DRAINING,
     EVACUATED,
     QUEUED,
     READY,
@@ -75,7 +77,6 @@
 """How long no run is started after the worker has refused a start as unhealthy, or refused the
 connection."""
 
-ABSENT = "absent"
 SUSPECT = "suspect"
 
 
@@ -86,6 +87,9 @@
     ----------
     worker : Worker or None
         The current lifetime of the worker.
+    successor : Worker or None
+        Another lifetime that a report or an answer has named, until the worker confirms or refutes
+        it. No run starts meanwhile.
     responsive : bool
         Whether the worker answers renewals of its lease.
     evacuated : bool
@@ -151,7 +155,7 @@
     """
 
     def __init__(self):
-        self.worker = None
+        self.worker = self.successor = None
         self.ended_lifetimes = deque(maxlen=MAX_ENDED_LIFETIMES)
         self.responsive = True
         self.evacuated = self.restored = False
@@ -205,19 +209,24 @@
             latest one.
         """
         current = self.worker
-        if (worker.id, worker.started_ms) in self.ended_lifetimes:
+        if worker.lifetime in self.ended_lifetimes:
             return False
         if current is not None:
             if worker.started_ms < current.started_ms:
                 return False
-            same_lifetime = (worker.id, worker.started_ms) == (current.id, current.started_ms)
+            same_lifetime = worker.lifetime == current.lifetime
             if same_lifetime and worker.sequence <= current.sequence:
                 return False
             # `DirectAgent.stop` also sets this state; a later report must not revert it.
-            if same_lifetime and current.state == "draining":
-                worker.state = "draining"
+            if same_lifetime and current.state == DRAINING:
+                worker.state = DRAINING
             if not same_lifetime:
                 self.on_lifetime_lost("a new lifetime of the worker has begun", now)
+        self.set_worker(worker, now)
+        return True
+
+    def set_worker(self, worker, now):
+        """Use the state and the capacity of a worker's latest report."""
         self.worker = worker
         self.cpu_limit = worker.cpu
         self.cold_until = now + worker.cold_left_ms / 1000
@@ -227,16 +236,51 @@
         for run in list(self.runs.values()):
             if run.state == QUEUED and not self.is_large_enough(run.order):
                 self.finish(run, "returned", now, TOO_LARGE)
-        return True
 
-    def end_lifetime(self, reason, now):
-        """Clear the worker and finish all its runs, because its lifetime has ended."""
+    def begin_lifetime(self, worker, listed, token, now):
+        """Replace the worker by a lifetime that has answered a request for its lists.
+
+        A lifetime under the identifier of the former one carries out the orders to it. It has
+        received `token`, so it will carry out none with a lower one: such a run is in the lists, or
+        it has ended with the former lifetime.
+
+        Parameters
+        ----------
+        worker : Worker
+        listed : set of TaskRef
+            Running and ended runs of the lifetime.
+        token : int
+            Fencing token of the request.
+        now : float
+
+        Returns
+        -------
+        list of Run
+            The runs that continue.
+        """
+        kept = [
+            run
+            for run in self.runs.values()
+            if run.state != QUEUED and (run.order.ref in listed or run.token >= token)
+        ]
+        self.on_lifetime_lost("a new lifetime of the worker has begun", now, kept)
+        self.successor = None
+        self.set_worker(worker, now)
+        for run in kept:
+            # The former lifetime may have acknowledged the stop.
+            if run.state == STOPPING:
+                run.stop_acknowledged_at = None
+                self.stops.append(run)
+        return kept
+
+    def end_lifetime(self, reason, now, kept=()):
+        """Clear the worker and finish its runs, but those kept, because its lifetime has ended."""
         if self.worker is not None:
-            self.ended_lifetimes.append((self.worker.id, self.worker.started_ms))
+            self.ended_lifetimes.append(self.worker.lifetime)
         self.worker = None
         self.cpu_limit = 0
         self.changed = True
-        for run in list(self.runs.values()):
+        for run in [run for run in self.runs.values() if run not in kept]:
             kind = "returned" if run.state == QUEUED else "lost"
             self.finish(run, kind, now, reason)
         self.failure_share = 0.0
@@ -290,9 +334,9 @@
         """
         passed_over = []
         self.wake_at = None
-        if self.state == READY and now >= self.unhealthy_until:
+        if self.may_start_runs(now):
             self.start_waiting_suspect(now)
-        while self.queue and self.state == READY and now >= self.unhealthy_until:
+        while self.queue and self.may_start_runs(now):
             key, _, run = self.queue[0]
             if run.state != QUEUED or self.runs.get(run.key) is not run:
                 heapq.heappop(self.queue)
@@ -313,6 +357,10 @@
         for item in passed_over:
             heapq.heappush(self.queue, item)
 
+    def may_start_runs(self, now):
+        """Return whether the worker may be ordered to start runs."""
+        return self.state == READY and self.successor is None and now >= self.unhealthy_until
+
     def request_start(self, run, now):
         """Allocate capacity to a queued run and request its start."""
         self.count_queued(run, -1)
--- a/onyxfork/direct/arbiter_crashes.py
+++ b/onyxfork/direct/arbiter_crashes.py
@@ -27,10 +27,18 @@
 class CrashRecorder:
     """Mixin that counts the worker's crashes for the tasks it ran, and separates suspects."""
 
-    def on_lifetime_lost(self, reason, now):
-        """End a lifetime that the worker has not announced the end of: it has crashed."""
-        self.record_crash(reason, now)
-        self.end_lifetime(reason, now)
+    def on_lifetime_lost(self, reason, now, kept=()):
+        """End a lifetime that the worker has not announced the end of: it has crashed.
+
+        Parameters
+        ----------
+        reason : str
+        now : float
+        kept : collection of Run
+            Runs that were not in the lifetime, or that its successor may have.
+        """
+        self.record_crash(reason, now, kept)
+        self.end_lifetime(reason, now, kept)
 
     def on_renewal_missed(self, silent_from, now):
         """Record that a renewal was not answered, and since when the worker may be silent."""
@@ -43,10 +51,10 @@
         self.silence = None
         self.set_responsive(True, now)
 
-    def record_crash(self, reason, now):
+    def record_crash(self, reason, now, kept=()):
         """Count a crash of the worker for the tasks that it ran, and log these."""
         silence = self.silence or Silence(self.last_answer_at, now)
-        exposed = find_exposed(self.runs.values(), silence)
+        exposed = find_exposed([run for run in self.runs.values() if run not in kept], silence)
         if not exposed:
             return
         suspects = find_suspects(exposed, silence)
--- a/onyxfork/direct/lease.py
+++ b/onyxfork/direct/lease.py
@@ -34,6 +34,10 @@
         self.increment = INITIAL_TOKEN_INCREMENT
         self.is_exclusive = True
 
+    def advance(self):
+        """Increase the token, so that a worker that has received it refuses all earlier orders."""
+        self.value += 1
+
     def on_refused(self, value):
         """Increase the token if it is the one that the worker has refused."""
         if value == self.value:
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -4,9 +4,11 @@
 
 from onyxfork.direct.messages import TaskEvent
 
-__all__ = ["Run", "Worker", "Session", "STALE_AFTER_S"]
+__all__ = ["Run", "Worker", "Session", "ABSENT", "STALE_AFTER_S"]
 
 READY = "ready"
+ABSENT = "absent"
+DRAINING = "draining"
 EVACUATED = "evacuated"
 QUEUED = "queued"
 STARTING = "starting"
@@ -44,6 +46,8 @@
         When the worker confirmed the start.
     ordered_at : float
         When the start was requested from the worker.
+    token : int
+        Fencing token of the latest order to start it, 0 before.
     start_unconfirmed : bool
         Whether the order to start timed out without an answer of the worker.
     stop_acknowledged_at : float or None
@@ -67,6 +71,7 @@
     state: str = QUEUED
     started_at: float | None = None
     ordered_at: float = 0.0
+    token: int = 0
     start_unconfirmed: bool = False
     stop_acknowledged_at: float | None = None
     reason: str = ""
@@ -107,7 +112,7 @@
         Start of the lifetime by the worker's wall clock.
     service : str
     state : str
-        ``ready`` or ``draining``.
+        ``ready``, ``draining``, or ``absent`` while the lifetime has not reported.
     cpu, memory_mb, gpu : int
         Capacity; `cpu` in thousandths of a core.
     labels : list of str
@@ -128,6 +133,15 @@
     sequence: int = 0
     cold_left_ms: float = 0.0
 
+    @property
+    def lifetime(self):
+        """Identifier and start of the lifetime; a worker may start again under its identifier."""
+        return self.id, self.started_ms
+
+    def make_unreported(self, started_ms):
+        """Return a lifetime under the same identifier of which only the start is known."""
+        return Worker(self.id, started_ms, self.service, ABSENT, 0, 0, 0, sequence=-1)
+
 
 @define(eq=False)
 class Session:
--- a/onyxfork/direct/worker_client.py
+++ b/onyxfork/direct/worker_client.py
@@ -22,12 +22,16 @@
         to start that certainly has not reached the worker, because it refused the connection.
     clock_ms : int or None
         The worker's monotonic clock when it answered.
+    started_ms : int
+        Start of the lifetime that answered, 0 if the answer does not state it. A lifetime that has
+        the identifier of the one that was called carries out the call.
     connection_lost : bool
         Whether a call is unanswered because its connection failed, not because of a timeout.
     """
 
     answer: str
     clock_ms: int | None = None
+    started_ms: int = 0
     connection_lost: bool = field(default=False, kw_only=True)
 
     @property
@@ -42,8 +46,6 @@
 
     Parameters
     ----------
-    started_ms : int
-        Start of the worker's lifetime, 0 if the answer does not state it.
     running : dict
         Progress in percent by `TaskRef`.
     ended_runs : list of (TaskRef, str)
@@ -55,7 +57,6 @@
         by :class:`onyxfork.direct.list_polls.ListPolls`.
     """
 
-    started_ms: int = 0
     running: dict = field(factory=dict)
     ended_runs: list = field(factory=list)
     last_end: int = 0
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -5,9 +5,10 @@
 
 import asyncio
 import logging
+from contextlib import suppress
 
-from onyxfork.direct.lease import WorkerClock
 from onyxfork.direct.runs import EVACUATED, STARTING
+from onyxfork.direct.worker_lifetimes import RETRY_DELAY_S, WorkerLifetimes, retry_delay_s
 from onyxfork.utils import logged_failures
 
 __all__ = ["WorkerDriver", "task_name"]
@@ -29,10 +30,6 @@
 loses one call in twenty misses two renewals in a row every few seconds, yet it runs its tasks. A
 worker that refuses renewals is suspect without this delay."""
 
-RETRY_DELAY_S = 0.05
-"""Pause after a request for the lists that failed before its timeout, and unit of the pause after
-an unanswered order to stop."""
-
 WATCH_REVIEW_S = 0.05
 """Interval at which `watch_lists` checks whether a second poll is needed."""
 
@@ -48,56 +45,30 @@
 expires and ends the run long before the last attempt."""
 
 
-class WorkerDriver:
+class WorkerDriver(WorkerLifetimes):
     """Mixin that carries out the arbiter's decisions and passes it replies of the worker."""
 
-    # Worker's reports
-
-    def on_worker_report(self, worker):
-        """Pass a report of the worker to the arbiter; reset the renewals for a new lifetime.
-
-        Parameters
-        ----------
-        worker : Worker
-        """
-        same_lifetime = self.is_current_lifetime(worker)
-        former_state = self.arbiter.worker.state if same_lifetime else ""
-        if not self.arbiter.apply_worker_report(worker, self.clock.now()):
-            return
-        if not same_lifetime:
-            self.last_end = 0
-            self.missed_renewals = 0
-            self.worker_clock = WorkerClock()
-        if not same_lifetime or former_state != worker.state:
-            fields = {"worker": worker.id, "state": worker.state, "sequence": worker.sequence}
-            log.info("worker reported", extra=fields)
-        self.control.update_labels(labels=worker.labels)
-        self.worker_known.set()
-        self.apply_decisions()
-
-    def on_worker_left(self, worker_id):
-        """End the lifetime of a worker that has reported a planned stop."""
-        current = self.arbiter.worker
-        if current is not None and current.id == worker_id:
-            log.info("worker left", extra={"worker": worker_id})
-            self.arbiter.end_lifetime("the worker has left", self.clock.now())
-            self.apply_decisions()
-
     # Worker's lease and lists
 
     async def keep_lease(self):
-        """Renew the lease and read the lists of runs in a loop; wait while no worker is known."""
+        """Renew the lease and read the lists of runs in a loop; wait while no worker is known.
+
+        A pause after a failed renewal ends when another lifetime begins: if that one crashes, its
+        silence is dated by its own renewals.
+        """
         while True:
+            self.lifetime_begun.clear()
             worker = self.arbiter.worker
             if worker is None:
-                self.worker_known.clear()
-                await self.worker_known.wait()
+                await self.lifetime_begun.wait()
                 continue
             delay_s = RETRY_DELAY_S
             with logged_failures(log, "renewal of the lease failed"):
                 delay_s = await self.renew_lease(worker)
             if delay_s:
-                await asyncio.sleep(delay_s)
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(delay_s):
+                        await self.lifetime_begun.wait()
 
     async def watch_lists(self):
         """Request the lists of runs beside the renewals while the worker leaves calls unanswered.
@@ -132,12 +103,13 @@
             Seconds.
         """
         asked_at, known_end = self.clock.now(), self.last_end
-        reply = await self.list_polls.request(worker, None, self.token.value, known_end, wait_ms)
-        if reply.answer != "ok" or not self.is_current_lifetime(worker):
+        reply = await self.list_polls.request(
+            worker, None, self.token.value, self.acknowledged_end, wait_ms
+        )
+        if reply.answer != "ok" or not self.is_credited(worker, reply):
             return retry_delay_s(reply)
-        if reply.started_ms <= worker.started_ms:
-            self.on_renewal_answered(self.clock.now())
-            self.apply_lists(reply, known_end, asked_at, self.clock.now())
+        self.on_renewal_answered(self.clock.now())
+        self.apply_lists(reply, known_end, asked_at, self.clock.now())
         return 0.0
 
     async def renew_lease(self, worker):
@@ -155,26 +127,31 @@
             wait_ms = RENEWAL_WAIT_MS if self.arbiter.runs else IDLE_RENEWAL_WAIT_MS
         new_connection = self.missed_renewals > 0
         reply = await self.list_polls.request(
-            worker, until_ms, token, known_end, wait_ms, new_connection
+            worker, until_ms, token, self.acknowledged_end, wait_ms, new_connection
         )
         now = self.clock.now()
         if not self.is_current_lifetime(worker):
             return 0.0
+        if not self.is_credited(worker, reply):
+            return RETRY_DELAY_S
         if reply.answer != "ok":
             self.on_failed_renewal(reply, token, sent_at, now)
             return retry_delay_s(reply)
         # The worker may delay its answer; it reads its clock just before it answers.
         self.worker_clock.update(reply.clock_ms, max(sent_at, now - 0.002), now)
-        if reply.started_ms > worker.started_ms:
-            self.arbiter.on_lifetime_lost("the worker has restarted", now)
-            self.on_renewal_answered(now)
-            self.apply_decisions()
-            return 0.0
         self.on_renewal_answered(now)
         if self.token.on_accepted():
             self.apply_lists(reply, known_end, sent_at, now)
         return 0.0
 
+    @property
+    def acknowledged_end(self):
+        """Number up to which a request for the lists lets the worker drop ended runs.
+
+        After a missed renewal another lifetime may answer, whose ends have numbers of their own.
+        """
+        return 0 if self.missed_renewals else self.last_end
+
     def on_failed_renewal(self, reply, token, sent_at, now):
         """Handle a renewal that was refused or not answered."""
         if reply.answer == "fence":
@@ -278,13 +255,14 @@
         """
         for _ in range(2):
             sent_at = self.clock.now()
-            token = self.token.value
+            token = run.token = self.token.value
             until_ms = int(self.worker_clock.estimate_ms(run.ordered_at) + self.lease.length_ms)
             self.lease.renewed_at = max(self.lease.renewed_at, sent_at)
             timeout_s = self.answer_times.timeout_s
             reply = await self.client.start(worker, run.order, until_ms, token, timeout_s)
             now = self.clock.now()
-            self.worker_clock.update(reply.clock_ms, sent_at, now)
+            if self.is_credited(worker, reply):
+                self.worker_clock.update(reply.clock_ms, sent_at, now)
             if reply.is_lost:
                 self.list_polls.on_call_lost(now)
             if reply.answer == "unanswered":
@@ -316,16 +294,11 @@
 
     async def stop_run(self, run):
         """Stop a run at the worker and report the outcome to the arbiter."""
-        await self.send_stop(run.order.ref)
-        self.arbiter.on_stop_reply(run, self.clock.now())
+        if await self.send_stop(run.order.ref):
+            self.arbiter.on_stop_reply(run, self.clock.now())
         if run.start_unconfirmed:
             await self.read_lists()
 
-    def is_current_lifetime(self, worker):
-        """Return whether a worker's lifetime is still the current one."""
-        known = self.arbiter.worker
-        return known is not None and (known.id, known.started_ms) == (worker.id, worker.started_ms)
-
     async def read_lists(self):
         """Request the lists without a renewal, to learn whether an unconfirmed run has ended."""
         worker = self.arbiter.worker
@@ -333,11 +306,18 @@
             await self.poll_lists(worker, 0)
 
     async def send_stop(self, ref):
-        """Send an order to stop until it is acknowledged, at most `MAX_STOP_ATTEMPTS` times."""
+        """Send an order to stop until it is acknowledged, at most `MAX_STOP_ATTEMPTS` times.
+
+        Returns
+        -------
+        bool
+            Whether the lifetime that was ordered last is still the current one. Otherwise the run
+            has ended, or `Arbiter.begin_lifetime` has it stopped again.
+        """
         for attempt in range(MAX_STOP_ATTEMPTS):
             worker = self.arbiter.worker
             if worker is None:
-                return
+                return False
             token = self.token.value
             reply = await self.client.stop(worker, ref, token, self.answer_times.timeout_s)
             if reply.is_lost:
@@ -345,18 +325,11 @@
             if reply.answer == "fence":
                 self.token.on_refused(token)
             elif reply.answer != "unanswered" and reply.answer != "unhealthy":
-                return
+                return self.is_credited(worker, reply)
             else:
                 await asyncio.sleep(RETRY_DELAY_S * min(attempt, MAX_RETRY_DELAY_FACTOR))
         log.warning("order to stop not acknowledged", extra={"task": task_name(ref)})
-
-
-def retry_delay_s(reply):
-    """Return the pause in seconds after a failed `LeaseReply`.
-
-    A worker may refuse every request, break every connection or answer with an error at once.
-    """
-    return 0.0 if reply.timed_out else RETRY_DELAY_S
+        return self.is_current_lifetime(worker)
 
 
 def task_name(ref):
--- a/onyxfork/platform/workers.py
+++ b/onyxfork/platform/workers.py
@@ -61,8 +61,6 @@
 
 def decode_run_lists(data, reply):
     """Add the worker's lists of running and ended runs to a `LeaseReply`, and return it."""
-    # born: start of the worker's lifetime in milliseconds, by the worker's clock.
-    reply.started_ms = read_integer(data, "born", 0)
     # Rows of "running": task name, run, a field that is not used, percentage done.
     for row in read_list(data, "running", []):
         ref = decode_task(row[0], row[1])
@@ -147,11 +145,14 @@
     try:
         data = read_object(json.loads(response_body), "answer")
         clock_ms = read_integer(data, "clockMs")
+        # born: start of the worker's lifetime in milliseconds, by the worker's clock.
+        started_ms = read_integer(data, "born", 0)
         if status == 409:
-            return reply_type(REJECTION_REASONS.get(data.get("reason"), "unhealthy"), clock_ms)
+            answer = REJECTION_REASONS.get(data.get("reason"), "unhealthy")
+            return reply_type(answer, clock_ms, started_ms)
         if status != 200:
-            return reply_type("unanswered", clock_ms)
-        reply = reply_type("ok", clock_ms)
+            return reply_type("unanswered", clock_ms, started_ms)
+        reply = reply_type("ok", clock_ms, started_ms)
         return decode_run_lists(data, reply) if reply_type is LeaseReply else reply
     except (ValueError, FieldError, TypeError, IndexError, RecursionError) as error:
         log.warning(
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -35,6 +35,7 @@
         self.ended_runs = []
         self.run_ended = asyncio.Event()
         self.responsive = True
+        self.id, self.started_ms = "w1", 1
 
     async def start(self, worker, order, until_ms, token, timeout_s):
         self.running[order.ref] = 0
@@ -56,6 +57,8 @@
     async def renew_lease(self, worker, until_ms, token, last_end, wait_ms, fresh, timeout_s):
         if not self.responsive:
             return LeaseReply("unanswered")
+        if worker.id != self.id:
+            return LeaseReply("other-lifetime")
         self.run_ended.clear()
         if wait_ms and len(self.ended_runs) <= last_end:
             try:
@@ -64,7 +67,9 @@
             except TimeoutError:
                 pass
         ended_runs, last_end_sent = self.ended_runs[last_end:], len(self.ended_runs)
-        return LeaseReply("ok", 1000, 1, dict(self.running), ended_runs, last_end_sent)
+        return LeaseReply(
+            "ok", 1000, self.started_ms, dict(self.running), ended_runs, last_end_sent
+        )
 
 
 def make_settings(node):
@@ -85,7 +90,7 @@
     agent = DirectAgent(agent_settings, worker, SystemClock(), telemetry)
     entry = DirectEntry(entry_settings, SystemClock(), telemetry)
     async with run_agent(agent), run_entry(entry):
-        agent.on_worker_report(make_worker())
+        agent.on_worker_report(make_worker(born_ms=worker.started_ms))
         await until(lambda: agent.port)
         node = DirectoryNode("s1", "agent", "a", f"127.0.0.1:{agent.port}")
         entry.control.add_announced_node(node)
@@ -226,6 +231,7 @@
         await until(lambda: worker.started)
         await until(lambda: agent.arbiter.crash_table.counts)
         agent.on_worker_report(make_worker(id="w2", born_ms=2))
+        worker.id, worker.started_ms = "w2", 2
         worker.responsive = True
         async with asyncio.timeout(TIMEOUT_S):
             outcome = await job
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -156,7 +156,7 @@
         calls.append((request.path, body, request.headers["X-Expect-Instance"]))
         if request.path == "/run-start":
             reason = "room" if body["task"].endswith("1") else "fence"
-            return json_response(409, {"clockMs": 7, "reason": reason})
+            return json_response(409, {"clockMs": 7, "reason": reason, "born": 5})
         if request.path == "/run-stop":
             return json_response(200, {"clockMs": 8})
         running = [[f"{ID}.0.0.4", 2, "", 41]]
@@ -172,6 +172,7 @@
         stop = await client.stop(worker, TaskRef(ID, 0, 4, 2), 11, 1.0)
         hold = await client.renew_lease(worker, 600, 11, 57, 100, False, 0.3)
     assert (room.answer, fence.answer, stop.answer) == ("room", "fence", "ok")
+    assert (room.started_ms, stop.started_ms) == (5, 0)
     assert calls[0] == (
         "/run-start",
         {"task": f"{ID}.0.0.1", "run": 3, "spec": "x", "untilMs": 500, "fencingToken": 11},
