Soak: workers that keep their identifier, and that crash behind a short cut

Change: two thirds of the workers keep theirs; a late order is then carried out by the next lifetime; an answer of a lifetime that has ended is not sent; a worker's report names its address; a fault cuts a worker off for 0.1 to 0.5 s, and behind the cut it crashes and returns, once a second on average, from a random sequence of its own.

--- a/onyxfork/platform/standin/worker.py
+++ b/onyxfork/platform/standin/worker.py
@@ -48,7 +48,7 @@
     Parameters
     ----------
     worker : str
-        Identifier of the worker's lifetime.
+        Name of the worker's lifetime.
     job, task : str
         Identifier of the job, and name of the task.
     run : int
@@ -80,7 +80,7 @@
     """State of one worker.
 
     It covers all lifetimes of the worker: a restart clears the runs, the lease and the fencing
-    token, and changes the worker's `id`.
+    token.
 
     Parameters
     ----------
@@ -101,6 +101,10 @@
         lease), ``late`` (orders to start get no response and are carried out after a delay),
         ``mute`` (orders to start are carried out at once and get no response), ``shed`` (orders to
         start are refused) or empty.
+    keeps_id : bool
+        Whether all lifetimes have the same identifier.
+    address : Address or None
+        Where the worker is served.
     guards_capacity : bool
         Whether orders to start that do not fit are refused.
     crashes_on : callable
@@ -117,6 +121,10 @@
         ``ready`` or ``draining``.
     is_up : bool
         Whether the worker responds and sends reports.
+    is_cut_off : bool
+        Whether nothing passes between the worker and its agent.
+    cut_ended : asyncio.Event
+        Set when nothing is cut off.
     drain_acked_at : float or None
         When the agent acknowledged that the worker is draining.
     running : dict
@@ -145,6 +153,8 @@
     rng: Random
     journal: list = field(factory=list)
     fault: str = ""
+    keeps_id: bool = False
+    address: object = None
     guards_capacity: bool = True
     crashes_on: object = field(default=lambda spec, task: False)
     capacities: list = field(factory=list)
@@ -153,6 +163,8 @@
     sequence: int = 0
     state: str = "ready"
     is_up: bool = True
+    is_cut_off: bool = False
+    cut_ended: asyncio.Event = field(factory=asyncio.Event)
     drain_acked_at: float | None = None
     running: dict = field(factory=dict)
     ended_runs: list = field(factory=list)
@@ -163,10 +175,15 @@
     run_ended: asyncio.Event = field(factory=asyncio.Event)
 
     @property
-    def id(self):
-        """Identifier of the present lifetime."""
+    def lifetime_name(self):
+        """Name of the present lifetime, which no other one has."""
         return f"i-{self.name}-{self.lifetime}"
 
+    @property
+    def id(self):
+        """Identifier of the present lifetime in reports and calls."""
+        return f"i-{self.name}" if self.keeps_id else self.lifetime_name
+
     def clock_ms(self):
         """Return the time of the worker's own clock in milliseconds."""
         return int(self.clock.now() * 1000)
@@ -232,7 +249,9 @@
         if self.guards_capacity and needed_cpu + cpu_used > self.cpu:
             return self.reject("room")
         now = self.clock.now()
-        record = RunRecord(self.id, task.split(".")[0], task, run, body["spec"], now, started_late)
+        record = RunRecord(
+            self.lifetime_name, task.split(".")[0], task, run, body["spec"], now, started_late
+        )
         record.ends_at = now + self.run_s(body["spec"], task) / self.speed
         self.running[task] = record
         self.journal.append(record)
@@ -298,7 +317,7 @@
         self.sequence += 1
         return {
             "service": self.service,
-            "address": "",
+            "address": str(self.address),
             "zone": "",
             "version": "v1",
             "slots": 8,
@@ -320,19 +339,26 @@
         self.background_tasks = set()
 
     async def handle(self, request):
-        """Respond to one request, or close the connection if the worker is down."""
+        """Respond to one request; reset its connection if it is not answered in this lifetime."""
         worker = self.worker
-        if not worker.is_up:
+        lifetime, response = worker.lifetime, None
+        if worker.is_up and not worker.is_cut_off:
+            response = await self.handle_in_lifetime(request)
+        if worker.is_cut_off:
+            await worker.cut_ended.wait()
+        if response is None or not worker.is_up or worker.lifetime != lifetime:
             request.transport.abort()
             return json_response(503, {})
+        return response
+
+    async def handle_in_lifetime(self, request):
+        """Respond to one request."""
+        worker = self.worker
         if request.headers.get("X-Expect-Instance", worker.id) != worker.id:
             return json_response(421, {})
         body = json.loads(request.body)
         if request.path == "/hold":
-            status, response = await worker.renew_lease(body)
-            if not worker.is_up:
-                request.transport.abort()
-            return self.answer(status, response)
+            return self.answer(*await worker.renew_lease(body))
         if request.path == "/run-stop":
             return self.answer(*worker.stop(body))
         return await self.start(request, body)
@@ -352,7 +378,7 @@
             return json_response(503, {})
         status, response = worker.start(body)
         if status == 200 and worker.crashes_on(body["spec"], body["task"]):
-            self.spawn(self.crash(worker.id))
+            self.spawn(self.crash(worker.lifetime))
         return self.answer(status, response)
 
     def spawn(self, coroutine):
@@ -361,18 +387,21 @@
         self.background_tasks.add(task)
         task.add_done_callback(self.background_tasks.discard)
 
-    async def crash(self, worker_id):
+    async def crash(self, lifetime):
         """Crash the worker soon, unless its lifetime ends before; it returns after a while."""
         worker = self.worker
         await asyncio.sleep(CRASH_DELAY_S)
-        if worker.is_up and worker.id == worker_id:
+        if worker.is_up and worker.lifetime == lifetime:
             worker.is_up = False
             worker.end_lifetime()
             await asyncio.sleep(CRASH_RETURN_S)
             worker.is_up = True
 
     async def start_late(self, worker_id, body):
-        """Carry out an order to start after a random delay, unless the lifetime has ended."""
+        """Carry out an order to start after a random delay, if its worker's identifier is in use.
+
+        Another lifetime with the same identifier carries it out, too.
+        """
         worker = self.worker
         await asyncio.sleep(worker.rng.uniform(MIN_START_DELAY_S, MAX_START_DELAY_S))
         if worker.is_up and worker.id == worker_id:
@@ -389,7 +418,7 @@
 async def keep_reporting(worker, agent, session):
     """Report to the agent at regular intervals, with jitter, while the worker is up."""
     while True:
-        if worker.is_up:
+        if worker.is_up and not worker.is_cut_off:
             await send_report(worker, agent, session)
         await asyncio.sleep(REPORT_INTERVAL_S * worker.rng.uniform(0.8, 1.2))
 
@@ -428,6 +457,7 @@
     agent : Address
         Where the agent listens for reports.
     """
+    worker.address = address
     async with (
         aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar()) as session,
         run_server(WorkerServer(worker).handle, address),
--- a/onyxfork/workload/soak/cluster.py
+++ b/onyxfork/workload/soak/cluster.py
@@ -152,6 +152,7 @@
             task_cpu,
             self.clock,
             Random(self.rng.random()),
+            keeps_id=self.host_numbers[name] % 3 != 0,
             guards_capacity=self.host_numbers[name] % 2 == 0,
             crashes_on=task_crashes,
         )
--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -178,7 +178,7 @@
     # Workers
 
     async def do_crash(self, fault):
-        """Crash a worker, which returns with a new identifier after the duration of the fault."""
+        """Crash a worker, which returns after the duration of the fault."""
         worker = self.cluster.workers[fault.target]
         worker.is_up = False
         worker.end_lifetime()
@@ -186,9 +186,22 @@
         worker.is_up = True
 
     async def do_reborn(self, fault):
-        """Crash a worker, which returns with a new identifier at once."""
+        """Crash a worker, which returns at once."""
         self.cluster.workers[fault.target].end_lifetime()
 
+    async def do_cut_reborn(self, fault):
+        """Cut a worker off from its agent; behind the cut it crashes and returns."""
+        worker = self.cluster.workers[fault.target]
+        if worker.is_cut_off:
+            return
+        worker.is_cut_off = True
+        worker.cut_ended.clear()
+        await asyncio.sleep(fault.duration_s / 2)
+        worker.end_lifetime()
+        await asyncio.sleep(fault.duration_s / 2)
+        worker.is_cut_off = False
+        worker.cut_ended.set()
+
     async def set_worker_fault(self, fault):
         """Set `StandInWorker.fault` of a worker for the duration of the fault."""
         worker = self.cluster.workers[fault.target]
@@ -218,12 +231,12 @@
         worker = self.cluster.workers[fault.target]
         if not worker.is_up or worker.state != "ready":
             return
-        lifetime_id = worker.id
+        lifetime = worker.lifetime_name
         agent = self.cluster.address(fault.target, CONTROL_HTTP_PORT)
         leaving = asyncio.create_task(drain_and_restart(worker, agent, LEAVE_DRAIN_S))
         while not leaving.done():
-            if worker.id == lifetime_id and worker.drain_acked_at is not None:
-                self.records.drains.append((lifetime_id, worker.drain_acked_at))
+            if worker.lifetime_name == lifetime and worker.drain_acked_at is not None:
+                self.records.drains.append((lifetime, worker.drain_acked_at))
                 break
             await asyncio.sleep(POLL_INTERVAL_S)
         await leaving
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -53,7 +53,7 @@
 LINK_KINDS = ("delay", "reset", "cut", "lose", "silence")
 WORKER_KINDS = ("crash", "reborn", "fail", "hang", "late", "mute", "shed", "slow", "leave")
 LOAD_KINDS = ("burst", "give_up", "storm", "race", "invalid")
-LATER_KINDS = ("crashing", "shrink", "evacuate")
+LATER_KINDS = ("crashing", "shrink", "evacuate", "cut_reborn")
 """Kinds that are drawn from random sequences of their own, so that the other faults of a seed stay
 the same."""
 
@@ -67,6 +67,11 @@
 MIN_SHRINK_FACTOR, MAX_SHRINK_FACTOR = 1.5, 8.0
 """Mean time between two shrinks of a worker's capacity, and factor by which it shrinks."""
 
+MEAN_CUT_INTERVAL_S = 1.0
+MIN_CUT_S, MAX_CUT_S = 0.1, 0.5
+"""Mean time between two short cuts between a worker and its agent, and their duration, below the
+silence after which the agent sends no more orders."""
+
 EVACUATION_SHARE = 0.5
 """Probability that a schedule has evacuations of zones."""
 
@@ -257,6 +262,7 @@
         draw.faults.append(kill_all)
     faults = [*draw.faults, *draw_later_faults(Random(f"{seed} later"), seconds, size)]
     faults += draw_evacuations(Random(f"{seed} evacuations"), seconds, size)
+    faults += draw_cuts(Random(f"{seed} cuts"), seconds, size)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -277,6 +283,17 @@
     return faults
 
 
+def draw_cuts(rng, seconds, size):
+    """Draw short cuts behind which a worker crashes and returns."""
+    faults = []
+    at_s = WARM_UP_S
+    while (at_s := at_s + rng.expovariate(1 / MEAN_CUT_INTERVAL_S)) < seconds:
+        fault = Fault(at_s, "cut_reborn", rng.choice(size.names("agent")))
+        fault.duration_s = rng.uniform(MIN_CUT_S, MAX_CUT_S)
+        faults.append(fault)
+    return faults
+
+
 def draw_evacuations(rng, seconds, size):
     """Draw evacuations of zones, which may overlap; each zone is evacuated at most once."""
     if rng.random() >= EVACUATION_SHARE:
--- a/tests/platform/standin/test_standin_worker.py
+++ b/tests/platform/standin/test_standin_worker.py
@@ -60,9 +60,12 @@
     assert worker.start({**order(clock, run=2), **change}) == (409, {"reason": reason})
 
 
-def test_next_lifetime_starts_with_empty_state(worker, clock):
+@pytest.mark.parametrize("keeps_id", [False, True])
+def test_next_lifetime_starts_with_empty_state(worker, clock, keeps_id):
+    worker.keeps_id = keeps_id
     worker.start(order(clock, token=9))
-    previous_id = worker.id
+    previous_id, previous_name = worker.id, worker.lifetime_name
     worker.end_lifetime()
-    assert worker.id != previous_id and worker.journal[0].outcome == "crashed"
+    assert (worker.id == previous_id) == keeps_id and worker.lifetime_name != previous_name
+    assert worker.journal[0].outcome == "crashed"
     assert worker.start(order(clock, token=1)) == (200, {})
