Attribute a worker's crash only to runs that it is known to have had, and to suspects only if it is dated

Cause: an order that was sent into a cut and never answered counted as running in the crash; and while only renewals that time out tell of a silence, each run ordered up to 0.3 s before it was noticed counted as just started. Tests: two in tests/direct/test_crashes.py, both failed before.

--- a/onyxfork/direct/crashes.py
+++ b/onyxfork/direct/crashes.py
@@ -61,6 +61,9 @@
 def find_exposed(runs, silence):
     """Return the runs that the worker may have started before it fell silent.
 
+    An order that was sent when the worker may have been silent, and was not answered, is not
+    taken to have arrived: if the worker was cut off, it has crashed without any part in it.
+
     Parameters
     ----------
     runs : iterable of Run
@@ -71,7 +74,12 @@
     list of Run
         The youngest first.
     """
-    exposed = [run for run in runs if run.state != QUEUED and run.ordered_at <= silence.end]
+    exposed = [
+        run
+        for run in runs
+        if run.state != QUEUED
+        and run.ordered_at <= (silence.end if run.start_is_answered else silence.start)
+    ]
     return sorted(exposed, key=silence.age_s)
 
 
@@ -79,7 +87,8 @@
     """Return the runs that may have crashed the worker by being started.
 
     A run that was a suspect before starts apart from other runs, so it is the only suspect if it is
-    young.
+    young. Without a broken connection that dates the crash there are none: the worker may have been
+    cut off and have crashed later, for any reason.
 
     Parameters
     ----------
@@ -90,6 +99,8 @@
     -------
     list of Run
     """
+    if silence.end - silence.start > SUSPECT_AGE_S:
+        return []
     young = [run for run in exposed if silence.age_s(run) <= SUSPECT_AGE_S]
     return [run for run in young if run.order.suspected] or young
 
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -85,6 +85,11 @@
         """Key of the task, without the run number."""
         return (self.order.job, self.order.step, self.order.index)
 
+    @property
+    def start_is_answered(self):
+        """Whether the worker has answered the order to start."""
+        return self.state not in (QUEUED, STARTING) and not self.start_unconfirmed
+
     @property
     def has_started(self):
         """Whether the worker has confirmed the start."""
--- a/tests/direct/test_crashes.py
+++ b/tests/direct/test_crashes.py
@@ -26,9 +26,10 @@
     Silence,
     describe_runs,
     find_exposed,
+    find_suspects,
 )
 from onyxfork.direct.messages import CrashCount  # noqa: E402
-from onyxfork.direct.runs import QUEUED, RUNNING, Run  # noqa: E402
+from onyxfork.direct.runs import QUEUED, RUNNING, STARTING, STOPPING, Run  # noqa: E402
 
 
 def make_run(job, ordered_at, state=RUNNING, **order):
@@ -53,6 +54,23 @@
     assert silence.age_s(run) == 0.0
 
 
+# Guards against a job answered as failed for crashes of workers that its orders never reached.
+def test_unanswered_order_that_was_sent_into_the_silence_is_not_exposed():
+    silence = Silence(2.0, 2.3)
+    unanswered = make_run("stopping", 2.1, STOPPING)
+    unanswered.start_unconfirmed = True
+    assert find_exposed([make_run("starting", 2.1, STARTING), unanswered], silence) == []
+    earlier = make_run("earlier", 1.99, STARTING)
+    assert find_exposed([earlier], silence) == [earlier]
+
+
+def test_silence_that_is_not_dated_by_a_broken_connection_has_no_suspects():
+    """The worker may have been cut off, and the runs may have ended before it crashed."""
+    run = make_run("job", 2.1)
+    assert find_suspects([run], Silence(2.1, 2.1 + SUSPECT_AGE_S)) == [run]
+    assert find_suspects([run], Silence(2.0, 2.3)) == []
+
+
 def test_description_is_bounded_and_has_ages():
     runs = [make_run("job", 1.5, index=index) for index in range(80)]
     texts = describe_runs(runs, [runs[1]], Silence(2.0, 2.0))
