Refuse odd reports of other writers, and follow the true worker after them

Operators of other systems saw machines end, or stop following the list of minions, after one entry that was nested deeply, had a number too large or a port out of range.

Cause: a report was believed as far as it could be read. Evidence, one report each to real processes: an identifier that is nobody's with a later start, a capacity of 10^30 (OverflowError in each status message), and a label that is not text (UnicodeEncodeError) each end the work at that worker for the 6 s watched. Change: bodies are read up to a nesting of 32, numbers up to 2^53 - 1 and texts that can be encoded; every field of a report is checked, the address too, and those of capacity against bounds beyond any machine; a sequence number far above the latest is refused; the answer is a 400 and one bounded log line. The same for callers' jobs (10,000 tasks, a finite timeout), configuration documents and a worker's lists, where a row that cannot be read no longer hides the others. A valid report of a lifetime that nobody has is refuted by the worker since. The valid report in tests/platform/test_http.py names an address now, since one without names no worker to use.

--- a/onyxfork/direct/worker_lifetimes.py
+++ b/onyxfork/direct/worker_lifetimes.py
@@ -23,6 +23,11 @@
 """Pause after a request for the lists that failed before its timeout, and unit of the pause after
 an unanswered order to stop."""
 
+MAX_SEQUENCE_STEP = 10**6
+"""Upper bound on how much the sequence number of reports rises from one to the next that is used.
+After a higher one all true reports would be stale. At one report in a second it is exceeded after
+eleven days without any."""
+
 
 class WorkerLifetimes:
     """Mixin that follows the worker through its lifetimes."""
@@ -52,17 +57,26 @@
         Parameters
         ----------
         worker : Worker
+
+        Returns
+        -------
+        str or None
+            Why the report is refused; None if it is applied, verified or stale.
         """
         if not self.is_current_lifetime(worker):
             self.verify_lifetime(worker)
-            return
-        former_state = self.arbiter.worker.state
+            return None
+        former = self.arbiter.worker
+        if worker.sequence - max(0, former.sequence) > MAX_SEQUENCE_STEP:
+            return f"sequence: more than {MAX_SEQUENCE_STEP} above that of the latest report"
+        former_state = former.state
         if not self.arbiter.apply_worker_report(worker, self.clock.now()):
-            return
+            return None
         if former_state != worker.state:
             log_report(worker)
         self.control.update_labels(labels=worker.labels)
         self.apply_decisions()
+        return None
 
     def on_worker_left(self, worker_id):
         """End the lifetime of a worker that has reported a planned stop.
--- a/onyxfork/platform/configuration.py
+++ b/onyxfork/platform/configuration.py
@@ -3,8 +3,6 @@
 The platform calls a queue a "route".
 """
 
-import json
-
 from result import Err, Ok
 
 from onyxfork.direct.configuration import (
@@ -16,6 +14,7 @@
 )
 from onyxfork.platform.fields import (
     FieldError,
+    decode_json,
     read_boolean,
     read_integer,
     read_list,
@@ -75,15 +74,13 @@
         ``Ok(Configuration)`` or ``Err(reason)``.
     """
     try:
-        data = read_object(json.loads(body), "configuration")
+        data = read_object(decode_json(body), "configuration")
         configuration = Configuration(
             version=read_integer(data, "version"),
             queues=[decode_queue(route) for route in read_list(data, "routes")],
             services=[decode_service(service) for service in read_list(data, "services")],
             limits=decode_limits(data.get("limits", {})),
         )
-    except (ValueError, RecursionError) as error:
-        return Err(f"not JSON: {error}")
     except FieldError as error:
         return Err(str(error))
     problem = find_configuration_error(configuration)
--- a/onyxfork/platform/jobs.py
+++ b/onyxfork/platform/jobs.py
@@ -1,25 +1,30 @@
 """Decoding of callers' jobs."""
 
-import json
+import math
 import re
 
 from result import Err, Ok
 
 from onyxfork.direct.requests import JobRequest, Step
 from onyxfork.platform.fields import (
+    MAX_NUMBER,
     FieldError,
+    decode_json,
     read_boolean,
     read_integer,
     read_list,
     read_number,
     read_object,
     read_string,
+    shorten,
 )
 
 __all__ = ["decode_job", "is_job_id", "UNSUPPORTED"]
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 MAX_SPEC_BYTES = 4000
+MAX_TASKS = 10_000
+"""Upper bound on the tasks of a job, which an entry keeps in memory."""
 DEFAULT_CALLER_TIMEOUT_MS = 10000.0
 """Caller's timeout if the request has no ``X-Deadline`` header."""
 
@@ -61,6 +66,17 @@
     )
 
 
+def decode_timeout(header):
+    """Return the milliseconds that a caller waits, from the value of the header or by default."""
+    try:
+        timeout_ms = float(header) if header else DEFAULT_CALLER_TIMEOUT_MS
+    except ValueError:
+        timeout_ms = math.nan
+    if not 0 <= timeout_ms <= MAX_NUMBER:
+        raise FieldError(f"caller's timeout cannot be decoded: {shorten(header)}")
+    return timeout_ms
+
+
 def decode_job(job_id, queue, body, timeout_header):
     """Return the job in a request.
 
@@ -80,7 +96,7 @@
         is valid but uses a feature which is not implemented.
     """
     try:
-        data = read_object(json.loads(body), "job")
+        data = read_object(decode_json(body), "job")
         # bestEffort: the caller waits for the outcome and the job is not stored.
         if not read_boolean(data, "bestEffort", False):
             return Err(f"{UNSUPPORTED}: jobs that are stored")
@@ -95,9 +111,9 @@
             raise FieldError(f"spec: longer than {MAX_SPEC_BYTES} bytes")
         if not steps or not all(step.count for step in steps):
             raise FieldError("steps: expected at least one task in each step")
-        caller_timeout_ms = float(timeout_header) if timeout_header else DEFAULT_CALLER_TIMEOUT_MS
-    except (ValueError, RecursionError) as error:
-        return Err(f"cannot be decoded: {error}")
+        if sum(step.count for step in steps) > MAX_TASKS:
+            raise FieldError(f"steps: expected at most {MAX_TASKS} tasks in all")
+        caller_timeout_ms = decode_timeout(timeout_header)
     except FieldError as error:
         return Err(str(error))
     return Ok(JobRequest(job_id, queue, spec, steps, caller_timeout_ms))
--- a/onyxfork/platform/workers.py
+++ b/onyxfork/platform/workers.py
@@ -3,11 +3,20 @@
 import asyncio
 import json
 import logging
+import re
 from contextlib import asynccontextmanager
 
 from onyxfork.direct.messages import TaskRef
 from onyxfork.direct.worker_client import LeaseReply, Reply, WorkerClient
-from onyxfork.platform.fields import FieldError, read_integer, read_list, read_object
+from onyxfork.platform.fields import (
+    MAX_NUMBER,
+    FieldError,
+    decode_json,
+    read_integer,
+    read_list,
+    read_object,
+    shorten,
+)
 from onyxfork.platform.http_client import open_pool
 
 __all__ = ["HttpWorkerClient", "open_worker_client"]
@@ -44,6 +53,11 @@
 """
 
 
+TASK_NAME = re.compile(r"([0-9A-Za-z]{1,64})\.[0-9]{1,9}\.([0-9]{1,9})\.([0-9]{1,9})")
+
+ROW_ERRORS = (FieldError, TypeError, LookupError)
+
+
 def encode_task(ref):
     """Return the platform's name of a task: ``job.occurrence.step.index``."""
     return f"{ref.job}.{OCCURRENCE}.{ref.step}.{ref.index}"
@@ -52,23 +66,40 @@
 def decode_task(name, run):
     """Return the `TaskRef` for a task name and a run number."""
     if not isinstance(name, str) or not isinstance(run, int):
-        raise FieldError(f"task: expected a task name and a run number, got {name!r}, {run!r}")
-    parts = name.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
-        raise FieldError(f"task: expected job.occurrence.step.index, got {name!r}")
-    return TaskRef(parts[0], int(parts[2]), int(parts[3]), run)
+        raise FieldError("task: expected a task name and a run number")
+    match = TASK_NAME.fullmatch(name)
+    if match is None or not 0 <= run <= MAX_NUMBER:
+        raise FieldError(f"task: expected job.occurrence.step.index, got {shorten(name)}")
+    job, step, index = match.groups()
+    return TaskRef(job, int(step), int(index), run)
 
 
 def decode_run_lists(data, reply):
-    """Add the worker's lists of running and ended runs to a `LeaseReply`, and return it."""
+    """Add the worker's lists of running and ended runs to a `LeaseReply`, and return it.
+
+    Rows that cannot be decoded are ignored, so that the others are followed.
+    """
+    ignored = []
     # Rows of "running": task name, run, a field that is not used, percentage done.
     for row in read_list(data, "running", []):
-        ref = decode_task(row[0], row[1])
-        reply.running[ref] = row[3] if len(row) > 3 and isinstance(row[3], int) else 0
+        try:
+            ref = decode_task(row[0], row[1])
+            reply.running[ref] = row[3] if len(row) > 3 and isinstance(row[3], int) else 0
+        except ROW_ERRORS as error:
+            ignored.append(error)
     # Rows of "ended": number of the end (ascending), task name, run, outcome.
     for row in read_list(data, "ended", []):
-        reply.ended_runs.append((decode_task(row[1], row[2]), RUN_OUTCOMES.get(row[3], "lost")))
-        reply.last_end = max(reply.last_end, row[0])
+        try:
+            number = read_integer({"number": row[0]}, "number")
+            ended = decode_task(row[1], row[2]), RUN_OUTCOMES.get(row[3], "lost")
+        except ROW_ERRORS as error:
+            ignored.append(error)
+            continue
+        reply.ended_runs.append(ended)
+        reply.last_end = max(reply.last_end, number)
+    if ignored:
+        fields = {"rows": len(ignored), "reason": shorten(str(ignored[0]))}
+        log.warning("rows of the worker's lists cannot be decoded", extra=fields)
     return reply
 
 
@@ -143,7 +174,7 @@
     if status == 400:
         return reply_type("invalid")
     try:
-        data = read_object(json.loads(response_body), "answer")
+        data = read_object(decode_json(response_body), "answer")
         clock_ms = read_integer(data, "clockMs")
         # born: start of the worker's lifetime in milliseconds, by the worker's clock.
         started_ms = read_integer(data, "born", 0)
@@ -154,7 +185,7 @@
             return reply_type("unanswered", clock_ms, started_ms)
         reply = reply_type("ok", clock_ms, started_ms)
         return decode_run_lists(data, reply) if reply_type is LeaseReply else reply
-    except (ValueError, FieldError, TypeError, IndexError, RecursionError) as error:
+    except (FieldError, TypeError) as error:
         log.warning(
             "worker response cannot be decoded", extra={"status": status, "reason": str(error)}
         )
--- a/tests/direct/test_worker_lifetimes.py
+++ b/tests/direct/test_worker_lifetimes.py
@@ -16,7 +16,7 @@
 from test_path import TIMEOUT_S, StandInWorker, run_path, until  # noqa: E402
 
 from onyxfork.direct.worker_client import LeaseReply, Reply  # noqa: E402
-from onyxfork.direct.worker_lifetimes import RETRY_DELAY_S  # noqa: E402
+from onyxfork.direct.worker_lifetimes import MAX_SEQUENCE_STEP, RETRY_DELAY_S  # noqa: E402
 
 
 class ReturningWorker(StandInWorker):
@@ -217,6 +217,16 @@
         assert worker.starts_of(FORMER_JOB) == [1]
 
 
+async def test_report_with_a_number_far_above_the_latest_is_refused():
+    """Guards against a true worker whose reports all count as late after one of another writer."""
+    worker = ReturningWorker()
+    async with run_path(worker) as (_, agent):
+        odd = make_worker(sequence=2 + MAX_SEQUENCE_STEP, state="draining")
+        assert "sequence" in agent.on_worker_report(odd)
+        assert agent.on_worker_report(make_worker(sequence=2, cpu=2000)) is None
+        assert (agent.arbiter.state, agent.arbiter.worker.cpu) == ("ready", 2000)
+
+
 @pytest.mark.parametrize("id, started_ms", [("w1", 1000), ("w2", 1000), ("w2", 5000)])
 async def test_new_lifetime_is_followed_whatever_the_time_of_day_at_its_start(id, started_ms):
     """Guards against a worker that is ignored because its clock was stepped back."""
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -40,6 +40,22 @@
     assert reason in decode(routes).err_value
 
 
+@pytest.mark.parametrize(
+    ("fields", "reason"),
+    [
+        ({"version": 10**400}, "version"),
+        ({"version": 2**53}, "version"),
+        ({"more": json.loads("[" * 200 + "]" * 200)}, "nested"),
+        ({"limits": {"maxBodyBytes": 10**30}}, "maxBodyBytes"),
+        ({"limits": {"idleTimeoutMs": float("nan")}}, "idleTimeoutMs"),
+    ],
+)
+def test_document_that_not_every_instance_could_read_is_refused(fields, reason):
+    """Guards against a document that control accepts and an entry cannot use."""
+    document = {"version": 1, "routes": [], "services": [], **fields}
+    assert reason in decode_configuration(json.dumps(document).encode()).err_value
+
+
 def test_document_truncated_at_any_length_is_refused():
     document = json.dumps({"version": 7, "routes": [make_route()], "services": [{"name": "desk"}]})
     for length in range(len(document)):
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -185,6 +185,23 @@
     assert (hold.last_end, hold.started_ms, hold.clock_ms) == (59, 5, 9)
 
 
+async def test_rows_that_cannot_be_decoded_do_not_hide_the_others(caplog):
+    odd = [7, [], {}, ["x", 1], [f"{ID}.0.0.4", 10**400], [[[]], 1], ["\ud800.0.0.1", 1, "", 5]]
+    odd_ends = [["x", f"{ID}.0.1.9", 1, "done", ""], [2**60, f"{ID}.0.1.9", 1, "done", ""], 7]
+    running = [*odd, [f"{ID}.0.0.4", 2, "", 41]]
+    ended = [*odd_ends, [58, f"{ID}.0.1.9", 1, [], ""], [59, f"{ID}.0.1.9", 1, "done", ""]]
+
+    async def handle(_):
+        return json_response(200, {"clockMs": 9, "born": 5, "running": running, "ended": ended})
+
+    address = free_address()
+    async with run_server(handle, address), open_worker_client(address) as client:
+        hold = await client.renew_lease(make_worker(), 600, 11, 57, 100, False, 0.3)
+    assert hold.running == {TaskRef(ID, 0, 4, 2): 41}
+    assert (hold.ended_runs, hold.last_end) == ([(TaskRef(ID, 1, 9, 1), "done")], 59)
+    assert [vars(record)["rows"] for record in caplog.records if hasattr(record, "rows")] == [11]
+
+
 async def test_unreachable_worker_or_malformed_response_leaves_calls_unanswered():
     async with open_worker_client(free_address()) as client:
         reply = await client.renew_lease(make_worker(), None, 1, 0, 0, True, 0.2)
@@ -217,6 +234,7 @@
 
 REPORT = {
     "service": "s",
+    "address": "127.0.0.1:8080",
     "state": "ready",
     "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
     "labels": ["a", "r1-3"],
--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -55,6 +55,15 @@
         ({"steps": [{**STEP, "dependsOn": [0]}]}, "dependsOn"),
         ({"spec": "x" * 4001}, "spec"),
         ({"timeout_header": "soon"}, "cannot be decoded"),
+        ({"timeout_header": "nan"}, "cannot be decoded"),
+        ({"timeout_header": "1e999"}, "cannot be decoded"),
+        ({"timeout_header": "-1"}, "cannot be decoded"),
+        ({"spec": "\ud800"}, "spec"),
+        ({"steps": [{**STEP, "constraints": "\ud800"}]}, "constraints"),
+        ({"steps": [{**STEP, "cpu": 10**400}]}, "cpu"),
+        ({"steps": [{**STEP, "estimatedMs": float("inf")}]}, "estimatedMs"),
+        ({"steps": [{**STEP, "count": 10**9}]}, "tasks"),
+        ({"steps": [STEP], "more": json.loads("[" * 200 + "]" * 200)}, "nested"),
     ],
 )
 def test_invalid_field_is_named(fields, named):
