Play control groups on simulated time the same way each time, and wait for the log in a forced change of leader

Cause, two: (1) owned_tasks kept its tasks in a set, so they were cancelled in the order of their addresses in memory; connections of a killed instance drew their closing delays from the play's random numbers in that order. Evidence: a trace of all draws and messages; of 13 plays on the former code no two were the same, and the first difference is always a pair of `close` draws at 1.75 s, when an instance is killed. Voters rightly refuse such a candidate; its higher term ends the leader before the entry reaches it, and five attempts can all go that way (seen in the play of the instance 10.0.0.5 once plays were the same: its log stays at 13 entries, the others' grow to 17). The checks stay as they are.

--- a/onyxfork/utils/tasks.py
+++ b/onyxfork/utils/tasks.py
@@ -26,23 +26,26 @@
 async def owned_tasks():
     """Yield a function that starts tasks; cancel and await them when the context is left.
 
+    They are cancelled in the order in which they were started.
+
     Yields
     ------
     callable
         ``spawn(coroutine)`` returns the asyncio task. No reference to a finished task is kept; the
         exception of a failed one is passed to the event loop's exception handler.
     """
-    tasks = set()
+    # A dict keeps the order; that of a set of tasks follows their addresses in memory.
+    tasks = {}
 
     def on_done(task):
-        tasks.discard(task)
+        tasks.pop(task, None)
         if not task.cancelled() and task.exception() is not None:
             context = {"message": "background task failed", "exception": task.exception()}
             task.get_loop().call_exception_handler(context)
 
     def spawn(coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
-        tasks.add(task)
+        tasks[task] = None
         task.add_done_callback(on_done)
         return task
 
--- a/tests/control/replica_network.py
+++ b/tests/control/replica_network.py
@@ -230,11 +230,12 @@
     async def lead(self, name):
         """Make an instance the leader, as a leadership transfer would.
 
-        The election is repeated, because the instance loses it while its log is not the latest.
+        Like a transfer, it waits until the instance has the leader's log: voters refuse a candidate
+        that lacks an entry of theirs. The election is repeated, because the leader may append one.
         """
         replica = self.replicas[name]
         for _ in range(5):
-            await self.wait(lambda: self.leader() is not None, 5.0)
+            await self.wait(lambda: self.has_leaders_log(replica), 5.0)
             if not replica.raft.is_leader:
                 replica.raft.start_election(replica.clock.now(), pre_vote=False, forced=True)
                 replica.wake_event.set()
@@ -255,6 +256,14 @@
         ]
         return max(leading, key=lambda replica: replica.raft.term, default=None)
 
+    def has_leaders_log(self, replica):
+        """Return whether there is a leader and an instance has all entries of its log."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        own, latest = replica.raft.log, leader.raft.log
+        return (own.last_term, own.last_index) == (latest.last_term, latest.last_index)
+
     def is_voter(self, name):
         """Return whether the running instance is a voter by the leader's committed members."""
         leader, replica = self.leader(), self.replicas.get(name)
