A stopping entry refuses jobs of too many waves, and answers those that have not ended

Cause: the longest chain of steps was taken for a job's run time, although a step wider than the workers runs in waves; and at the end of a planned stop jobs in progress were neither stopped nor answered. Evidence: the record of the case shows eight tasks at a time, and the entry's log "stopped with jobs in progress".

--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -10,6 +10,7 @@
 from onyxfork.direct.dispatcher import Dispatcher
 from onyxfork.direct.documents import decompress_document
 from onyxfork.direct.entry_load import EntryLoad, Readiness, job_slack_ms
+from onyxfork.direct.entry_stop import ends_before
 from onyxfork.direct.jobs import longest_chain_ms
 from onyxfork.direct.links import ControlLinks, Dialer
 from onyxfork.direct.messages import (
@@ -49,12 +50,8 @@
 """How long a request waits for the first configuration. A process that has just started has
 received it by then, or control is unreachable."""
 
-STOP_RUN_TIME_FACTOR = 3.0
-"""While stopping, a job is accepted only if it would end in time even at this multiple of its
-expected run time."""
-
-STOP_MARGIN_S = 0.3
-"""Part of a planned stop that is reserved for sending the last answers."""
+ANSWER_MARGIN_S = 0.05
+"""Part of a planned stop in which the jobs that have not ended are stopped and answered."""
 
 MAX_SESSIONS = 96
 """Upper bound on connections to agents, beyond which those that control no longer assigns to this
@@ -203,9 +200,9 @@
 
     def ends_before_stop(self, request, now):
         """Return whether a job can be expected to end before a planned stop does."""
-        longest_s = longest_chain_ms(request.steps) / 1000
-        ends_at = now + STOP_RUN_TIME_FACTOR * longest_s + STOP_MARGIN_S
-        return ends_at <= self.stop_started_at + self.settings.drain_s
+        ready = [view for view in self.dispatcher.workers.values() if view.is_ready]
+        stop_at = self.stop_started_at + self.settings.drain_s
+        return ends_before(stop_at, now, request.steps, ready)
 
     def refused_outcome(self, request, refusal):
         """Log and count the refusal of a job; return it as a `JobOutcome`."""
@@ -466,16 +463,24 @@
     async def stop(self):
         """Perform a planned stop.
 
-        Report not ready to the load balancer, then wait for accepted jobs.
+        Report not ready to the load balancer, then wait for accepted jobs. Those that have not
+        ended in time are stopped and answered, so that their callers can send them again.
         """
         self.stop_started_at = self.clock.now()
-        stop_ends_at = self.stop_started_at + self.settings.drain_s
+        stop_ends_at = self.stop_started_at + self.settings.drain_s - ANSWER_MARGIN_S
         while self.clock.now() < stop_ends_at:
             elapsed_s = self.clock.now() - self.stop_started_at
             if elapsed_s >= MIN_DRAIN_S and not self.answer_futures:
                 return
             await asyncio.sleep(TICK_S)
-        log.warning("stopped with jobs in progress", extra={"jobs": len(self.answer_futures)})
+        jobs = list(self.answer_futures)
+        log.warning("stopped with jobs in progress", extra={"jobs": len(jobs)})
+        for job in jobs:
+            if job.outcome is None:
+                self.dispatcher.abandon_job(job, "this entry has stopped")
+        self.flush()
+        # Sends the orders to stop before the connections to agents are closed.
+        await asyncio.sleep(ANSWER_MARGIN_S)
 
 
 @asynccontextmanager
