Cancel a job at the entry that has it while its request is open

Change: DELETE stops a job that this entry has and answers 200, its POST is answered 200 `cancelled`, GET tells its state.

--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -262,10 +262,10 @@
             and self.workers[task.worker].status.cpu_free < 0
         ]
 
-    def cancel(self, job, reason):
-        """Stop a job whose caller has disconnected, unless it has finished."""
+    def cancel(self, job, reason, state=UNKNOWN):
+        """Stop a job for its caller, unless it has finished; `state` is that of its outcome."""
         if job.outcome is None:
-            self.finish_job(job, JobOutcome(UNKNOWN, reason))
+            self.finish_job(job, JobOutcome(state, reason))
 
     def finish_job(self, job, outcome):
         """Set the outcome of a job and withdraw its remaining runs."""
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -29,7 +29,7 @@
 )
 from onyxfork.direct.placement import can_ever_run
 from onyxfork.direct.precedence import MAX_PRIORITIES
-from onyxfork.direct.requests import REFUSED, JobOutcome
+from onyxfork.direct.requests import CANCELLED, REFUSED, JobOutcome
 from onyxfork.direct.return_times import ReturnTimes, job_work
 from onyxfork.errors import ProtocolError
 from onyxfork.messages import serve
@@ -198,6 +198,30 @@
         finally:
             self.answer_futures.pop(result, None)
 
+    def cancel_job(self, queue, job_id):
+        """Stop a job at the request of a caller.
+
+        Parameters
+        ----------
+        queue, job_id : str
+
+        Returns
+        -------
+        bool
+            Whether this entry has the job and it is cancelled.
+        """
+        job = self.find_job(queue, job_id)
+        if job is None:
+            return False
+        self.dispatcher.cancel(job, "cancelled by a caller", CANCELLED)
+        self.flush()
+        return job.outcome.state == CANCELLED
+
+    def find_job(self, queue, job_id):
+        """Return a job that this entry has, or None."""
+        job = self.dispatcher.jobs.get(job_id)
+        return job if job is not None and job.request.queue.name == queue else None
+
     def ends_before_stop(self, request, now):
         """Return whether a job can be expected to end before a planned stop does."""
         ready = [view for view in self.dispatcher.workers.values() if view.is_ready]
--- a/onyxfork/direct/requests.py
+++ b/onyxfork/direct/requests.py
@@ -2,8 +2,18 @@
 
 from attrs import define, field
 
-__all__ = ["Step", "JobRequest", "JobOutcome", "COMPLETED", "FAILED", "REFUSED", "UNKNOWN"]
-
+__all__ = [
+    "Step",
+    "JobRequest",
+    "JobOutcome",
+    "CANCELLED",
+    "COMPLETED",
+    "FAILED",
+    "REFUSED",
+    "UNKNOWN",
+]
+
+CANCELLED = "cancelled"
 COMPLETED = "completed"
 FAILED = "failed"
 REFUSED = "refused"
@@ -80,8 +90,9 @@
     Parameters
     ----------
     state : str
-        ``completed``, ``failed``, ``refused`` (no task has started or will start) or ``unknown``
-        (tasks may have started; the rest of the job has been stopped).
+        ``completed``, ``failed``, ``refused`` (no task has started or will start), ``unknown``
+        (tasks may have started; the rest of the job has been stopped) or ``cancelled`` (by a
+        caller's request; tasks may have started).
     reason : str
     retry_after_ms : float
         Delay after which the caller of a refused job should retry.
--- a/onyxfork/platform/callers.py
+++ b/onyxfork/platform/callers.py
@@ -4,7 +4,7 @@
 import math
 
 from onyxfork.direct.configuration import QueueTable, RequestLimits
-from onyxfork.direct.requests import COMPLETED, FAILED, REFUSED
+from onyxfork.direct.requests import CANCELLED, COMPLETED, FAILED, REFUSED
 from onyxfork.platform.configuration import decode_configuration
 from onyxfork.platform.http import Response, json_response
 from onyxfork.platform.jobs import UNSUPPORTED, decode_job, is_job_id
@@ -80,8 +80,12 @@
         if request.method == "GET" and not resource:
             # Jobs are not stored, so none is ever waiting in the queue.
             return json_response(200, {"waiting": 0})
-        if request.method in ("GET", "DELETE") and is_job_id(resource):
+        if request.method == "DELETE" and is_job_id(resource):
+            if self.entry.cancel_job(queue.name, resource):
+                return json_response(200, {"state": CANCELLED})
             return json_response(410, {"error": "no such job"})
+        if request.method == "GET" and is_job_id(resource):
+            return encode_state(self.entry.find_job(queue.name, resource))
         return json_response(404, {"error": "no such resource"})
 
     async def run_job(self, request, queue, job_id):
@@ -107,13 +111,23 @@
     return json_response(503, {"error": reason}, headers)
 
 
+def encode_state(job):
+    """Return the response to a request for the state of a job, None if there is no such job.
+
+    A job that has ended is not kept: its caller has the answer.
+    """
+    if job is None or job.outcome is not None:
+        return json_response(410, {"error": "no such job"})
+    return json_response(200, {"state": "running" if job.may_have_started else "queued"})
+
+
 def encode_outcome(outcome):
     """Return the response for the outcome of a job.
 
     On the platform, 503 means that no task of the job has run or will run. 504 means that the
     outcome is unknown; the caller may send the job again.
     """
-    if outcome.state in (COMPLETED, FAILED):
+    if outcome.state in (COMPLETED, FAILED, CANCELLED):
         return json_response(200, {"state": outcome.state})
     if outcome.state == REFUSED:
         return make_refusal(outcome.reason, max(1, math.ceil(outcome.retry_after_ms / 1000)))
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -70,6 +70,12 @@
     async def wait_for_configuration(self):
         pass
 
+    def cancel_job(self, queue, job_id):
+        return False
+
+    def find_job(self, queue, job_id):
+        return None
+
     async def run_job(self, request):
         self.requests.append(request)
         if self.outcome is not None:
