Send a stop again that another lifetime has answered; a stopping agent starts nothing in any lifetime

Change: the stop is repeated, the state is limited in both places, labels are announced with a report. Also split: nesting check and tasks that fit a worker. Tests: one new, one extended in tests/direct/test_worker_lifetimes.py.

--- a/onyxfork/direct/entry_stop.py
+++ b/onyxfork/direct/entry_stop.py
@@ -8,7 +8,7 @@
 
 from onyxfork.direct.jobs import chain_lengths
 
-__all__ = ["STOP_MARGIN_S", "ends_before", "run_time_in_waves_ms"]
+__all__ = ["ends_before", "run_time_in_waves_ms"]
 
 STOP_RUN_TIME_FACTOR = 3.0
 """While stopping, a job is accepted only if it would end in time even at this multiple of its
@@ -56,19 +56,14 @@
 def count_that_fit(step, workers):
     """Return how many tasks of a step fit the workers at the same time when nothing else runs."""
     return sum(
-        min(
-            step.max_per_worker or step.count,
-            *(
-                capacity // need
-                for capacity, need in (
-                    (worker.status.cpu, step.cpu),
-                    (worker.status.memory_mb, step.memory_mb),
-                    (worker.status.gpu, step.gpu),
-                )
-                if need
-            ),
-            step.count,
-        )
-        for worker in workers
-        if worker.fits_when_empty(step)
+        count_on_worker(step, worker.status) for worker in workers if worker.fits_when_empty(step)
     )
+
+
+def count_on_worker(step, status):
+    """Return how many tasks of a step fit the whole capacity in a worker's report."""
+    needs = (status.cpu, step.cpu), (status.memory_mb, step.memory_mb), (status.gpu, step.gpu)
+    limits = [capacity // need for capacity, need in needs if need]
+    if step.max_per_worker:
+        limits.append(step.max_per_worker)
+    return min(limits, default=step.count)
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -311,7 +311,7 @@
         Returns
         -------
         bool
-            Whether the lifetime that was ordered last is still the current one. Otherwise the run
+            Whether the order is settled at the current lifetime. If another one has begun, the run
             has ended, or `Arbiter.begin_lifetime` has it stopped again.
         """
         for attempt in range(MAX_STOP_ATTEMPTS):
@@ -324,10 +324,13 @@
                 self.list_polls.on_call_lost(self.clock.now())
             if reply.answer == "fence":
                 self.token.on_refused(token)
-            elif reply.answer != "unanswered" and reply.answer != "unhealthy":
-                return self.is_credited(worker, reply)
-            else:
-                await asyncio.sleep(RETRY_DELAY_S * min(attempt, MAX_RETRY_DELAY_FACTOR))
+                continue
+            if reply.answer not in ("unanswered", "unhealthy"):
+                if self.is_credited(worker, reply):
+                    return True
+                if not self.is_current_lifetime(worker):
+                    return False
+            await asyncio.sleep(RETRY_DELAY_S * min(attempt, MAX_RETRY_DELAY_FACTOR))
         log.warning("order to stop not acknowledged", extra={"task": task_name(ref)})
         return self.is_current_lifetime(worker)
 
--- a/onyxfork/direct/worker_lifetimes.py
+++ b/onyxfork/direct/worker_lifetimes.py
@@ -12,7 +12,7 @@
 import logging
 
 from onyxfork.direct.lease import WorkerClock
-from onyxfork.direct.runs import DRAINING, READY
+from onyxfork.direct.runs import ABSENT, DRAINING, READY
 from onyxfork.utils import logged_failures
 
 __all__ = ["WorkerLifetimes", "RETRY_DELAY_S", "is_answer_of", "retry_delay_s"]
@@ -63,6 +63,7 @@
         str or None
             Why the report is refused; None if it is applied, verified or stale.
         """
+        self.refuse_runs_while_stopping(worker)
         if not self.is_current_lifetime(worker):
             self.verify_lifetime(worker)
             return None
@@ -78,6 +79,11 @@
         self.apply_decisions()
         return None
 
+    def refuse_runs_while_stopping(self, worker):
+        """Treat a worker that is ready as draining while this agent is stopping."""
+        if self.stopping and worker.state == READY:
+            worker.state = DRAINING
+
     def on_worker_left(self, worker_id):
         """End the lifetime of a worker that has reported a planned stop.
 
@@ -204,8 +210,7 @@
         asked_at : float
         """
         now = self.clock.now()
-        if self.stopping and worker.state == READY:
-            worker.state = DRAINING
+        self.refuse_runs_while_stopping(worker)
         listed = {*reply.running, *(ref for ref, _ in reply.ended_runs)}
         kept = self.arbiter.begin_lifetime(worker, listed, token, now)
         self.last_end = 0
@@ -213,7 +218,8 @@
         self.worker_clock = WorkerClock()
         self.worker_clock.update(reply.clock_ms, asked_at, now)
         log_report(worker, runs_kept=len(kept))
-        self.control.update_labels(labels=worker.labels)
+        if worker.state != ABSENT:
+            self.control.update_labels(labels=worker.labels)
         self.lifetime_begun.set()
         self.on_renewal_answered(now)
         self.apply_lists(reply, 0, asked_at, now)
--- a/onyxfork/platform/fields.py
+++ b/onyxfork/platform/fields.py
@@ -26,7 +26,7 @@
 """Upper bound on numbers: the largest integer that every JSON reader represents exactly."""
 
 MAX_NESTING = 32
-"""Upper bound on the objects and lists around a value."""
+"""Upper bound on the levels of objects and lists."""
 
 MAX_SHOWN_LENGTH = 64
 """Upper bound on the characters of a refused value in an error message."""
@@ -56,18 +56,20 @@
         raise FieldError(f"nested deeper than {MAX_NESTING} levels") from None
     except ValueError as error:
         raise FieldError(f"not JSON: {shorten(str(error))}") from None
-    level = [value]
-    for _ in range(MAX_NESTING + 1):
-        level = [
-            item
-            for container in level
-            if isinstance(container, dict | list)
-            for item in (container.values() if isinstance(container, dict) else container)
-            if isinstance(item, dict | list)
-        ]
+    level = find_containers([value])
+    for _ in range(MAX_NESTING):
         if not level:
             return value
-    raise FieldError(f"nested deeper than {MAX_NESTING} levels")
+        level = [inner for container in level for inner in find_containers(container)]
+    if level:
+        raise FieldError(f"nested deeper than {MAX_NESTING} levels")
+    return value
+
+
+def find_containers(container):
+    """Return the objects and lists directly inside an object or a list."""
+    items = container.values() if isinstance(container, dict) else container
+    return [item for item in items if isinstance(item, dict | list)]
 
 
 def read_object(value, name):
--- a/tests/direct/test_worker_lifetimes.py
+++ b/tests/direct/test_worker_lifetimes.py
@@ -131,6 +131,23 @@
         await until(lambda: [ref.job for ref in worker.stopped] == [NEW_JOB])
 
 
+async def test_stop_that_another_lifetime_has_answered_is_sent_again():
+    worker = ReturningWorker()
+    async with run_path(worker) as (entry, agent):
+        job = await start_job(entry, worker, FORMER_JOB)
+        answers = [Reply("ok", 1000, 7)]
+        stop = worker.stop
+
+        async def answer_stop(*arguments):
+            return answers.pop() if answers else await stop(*arguments)
+
+        worker.stop = answer_stop
+        job.cancel()
+        await until(lambda: worker.stopped == [worker.started[0]])
+        await until(lambda: not agent.arbiter.runs)
+        assert (agent.arbiter.worker.lifetime, agent.arbiter.successor) == (("w1", 1), None)
+
+
 async def test_start_that_was_answered_by_neither_lifetime_is_stopped_in_the_new_one():
     """The order may reach the new lifetime after its lists were read."""
     arbiter, session = make_arbiter()
@@ -266,6 +283,10 @@
         report(agent, worker)
         await until(lambda: agent.arbiter.worker.started_ms == 2)
         assert agent.arbiter.state == "draining"
+        worker.begin_lifetime(started_ms=3)
+        await until(lambda: agent.arbiter.worker.started_ms == 3)
+        report(agent, worker)
+        assert agent.arbiter.state == "draining"
 
 
 async def test_lists_of_a_new_lifetime_are_requested_at_once():
