Soak: odd reports of another writer

Cause: the soak had no other writer beside the workers. Change: every four seconds on average an agent gets twenty odd reports, half under its worker's identifier, one in five nested deeply as well, from the sequence of the cuts; each must be answered 400, and all other checks hold as before.

--- a/onyxfork/platform/standin/calls.py
+++ b/onyxfork/platform/standin/calls.py
@@ -17,6 +17,7 @@
     "evacuation_path",
     "job_path",
     "make_invalid_configurations",
+    "make_odd_report",
     "node_settings",
 ]
 
@@ -24,6 +25,9 @@
 READY_PATH = "/ready"
 DEADLINE_HEADER = "X-Deadline"
 
+DEEP_SHARE, DEEP_LEVELS = 0.2, 100_000
+"""Share of odd reports that are nested deeply besides, and how deeply."""
+
 
 def job_path(queue, job_id):
     """Return the path to which a job of a queue is posted."""
@@ -79,6 +83,30 @@
     ).encode()
 
 
+def make_odd_report(rng, report):
+    """Return the body of a report of another writer that must be refused.
+
+    Parameters
+    ----------
+    rng : Random
+    report : dict
+        A valid report.
+    """
+    odd_values = {
+        "address": ["127.0.0.1:99999", "127.0.0.1", 7],
+        "seq": [-1, 10**30, 0.5],
+        "labels": [["\ud800"], "a", [[[]]]],
+        "capacity": [{"cpu": 10**30, "memMb": 1, "gpu": 0}, [], None],
+        "state": ["gone", "x" * 10_000, "\ud800"],
+        "born": [10**400, -1, "soon"],
+    }
+    key = rng.choice(sorted(odd_values))
+    body = json.dumps({**report, key: rng.choice(odd_values[key])})
+    if rng.random() < DEEP_SHARE:
+        body = body[:-1] + ', "x": ' + "[" * DEEP_LEVELS + "]" * DEEP_LEVELS + "}"
+    return body.encode()
+
+
 def make_invalid_configurations(valid_body):
     """Return configuration documents that must be refused, derived from a valid one.
 
--- a/onyxfork/platform/standin/worker.py
+++ b/onyxfork/platform/standin/worker.py
@@ -14,8 +14,9 @@
 from attrs import define, field
 
 from onyxfork.platform.http import json_response, run_server
+from onyxfork.platform.standin.calls import make_odd_report
 
-__all__ = ["RunRecord", "StandInWorker", "run_standin_worker"]
+__all__ = ["RunRecord", "StandInWorker", "run_standin_worker", "send_odd_reports"]
 
 log = logging.getLogger(__name__)
 
@@ -474,6 +475,31 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def send_odd_reports(worker, agent, count):
+    """Send reports of another writer; return the statuses of the responses.
+
+    Half of them have the worker's identifier.
+
+    Parameters
+    ----------
+    worker : StandInWorker
+    agent : Address
+        Where the agent listens for reports.
+    count : int
+    """
+    report = {**worker.make_report(), "seq": worker.sequence}
+    statuses = []
+    async with aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar()) as session:
+        for number in range(count):
+            url = f"http://{agent}/instances/{worker.id if number % 2 else 'i-other'}"
+            with suppress(TimeoutError, OSError, aiohttp.ClientError):
+                async with asyncio.timeout(REPORT_TIMEOUT_S):
+                    body = make_odd_report(worker.rng, report)
+                    async with session.put(url, data=body) as response:
+                        statuses.append(response.status)
+    return statuses
+
+
 async def drain_and_restart(worker, agent, drain_s):
     """Drain a worker, end its lifetime as planned, and begin the next one.
 
--- a/onyxfork/workload/soak/checks.py
+++ b/onyxfork/workload/soak/checks.py
@@ -136,6 +136,8 @@
         Zone of each worker, by name without the number of the lifetime.
     unplanned_faults : list of (float, float)
         Start and end of each unplanned fault.
+    odd_report_statuses : list of int
+        Statuses of the responses to reports of another writer.
     planned_stops : list of (str, float, float)
         Process, when SIGTERM was sent, and when the process had ended.
     final_load_from : float
@@ -152,6 +154,7 @@
     evacuations: list = field(factory=list)
     zones: dict = field(factory=dict)
     unplanned_faults: list = field(factory=list)
+    odd_report_statuses: list = field(factory=list)
     planned_stops: list = field(factory=list)
     final_load_from: float = 0.0
     ended_at: float = 0.0
@@ -180,6 +183,7 @@
         find_starts_over_capacity,
         find_configuration_violations,
         find_requests_cut_by_planned_stops,
+        find_accepted_odd_reports,
         find_missing_recovery,
     )
     return [line for check in checks for line in check(records)]
@@ -411,6 +415,13 @@
     )
 
 
+def find_accepted_odd_reports(records):
+    """Yield a line if reports of another writer were not refused with 400."""
+    wrong = [status for status in records.odd_report_statuses if status != 400]
+    if wrong:
+        yield f"odd reports: {len(wrong)} were answered {sorted(set(wrong))}"
+
+
 def find_missing_recovery(records):
     """Yield a line if too few jobs of the final load were completed, or none was answered."""
     final_jobs = [
--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from onyxfork.platform.standin.worker import drain_and_restart
+from onyxfork.platform.standin.worker import drain_and_restart, send_odd_reports
 from onyxfork.workload.proxy import Rule
 from onyxfork.workload.soak.checks import EvacuationRecord
 from onyxfork.workload.soak.cluster import (
@@ -23,6 +23,9 @@
 """Time from a worker's report that it is draining to the end of its lifetime: the platform allows
 2 s after the acknowledgement, and this adds a margin."""
 
+ODD_REPORTS = 20
+"""Reports of another writer that an agent gets one after the other."""
+
 TORN_BYTES = 37
 """Length of the incomplete record at the end of a torn log."""
 
@@ -202,6 +205,13 @@
         worker.is_cut_off = False
         worker.cut_ended.set()
 
+    async def do_odd_reports(self, fault):
+        """Send an agent odd reports of another writer, which it must refuse."""
+        worker = self.cluster.workers[fault.target]
+        agent = self.cluster.address(fault.target, CONTROL_HTTP_PORT)
+        statuses = await send_odd_reports(worker, agent, ODD_REPORTS)
+        self.records.odd_report_statuses += statuses
+
     async def set_worker_fault(self, fault):
         """Set `StandInWorker.fault` of a worker for the duration of the fault."""
         worker = self.cluster.workers[fault.target]
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -53,7 +53,7 @@
 LINK_KINDS = ("delay", "reset", "cut", "lose", "silence")
 WORKER_KINDS = ("crash", "reborn", "fail", "hang", "late", "mute", "shed", "slow", "leave")
 LOAD_KINDS = ("burst", "give_up", "storm", "race", "invalid")
-LATER_KINDS = ("crashing", "shrink", "evacuate", "cut_reborn")
+LATER_KINDS = ("crashing", "shrink", "evacuate", "cut_reborn", "odd_reports")
 """Kinds that are drawn from random sequences of their own, so that the other faults of a seed stay
 the same."""
 
@@ -67,6 +67,9 @@
 MIN_SHRINK_FACTOR, MAX_SHRINK_FACTOR = 1.5, 8.0
 """Mean time between two shrinks of a worker's capacity, and factor by which it shrinks."""
 
+MEAN_ODD_REPORTS_INTERVAL_S = 4.0
+"""Mean time between two series of odd reports to an agent."""
+
 MEAN_CUT_INTERVAL_S = 1.0
 MIN_CUT_S, MAX_CUT_S = 0.1, 0.5
 """Mean time between two short cuts between a worker and its agent, and their duration, below the
@@ -93,6 +96,7 @@
     "step_clock",
     "burst",
     "give_up",
+    "odd_reports",
 )
 UNPLANNED_KINDS = tuple(
     kind
@@ -284,13 +288,16 @@
 
 
 def draw_cuts(rng, seconds, size):
-    """Draw short cuts behind which a worker crashes and returns."""
+    """Draw short cuts behind which a worker crashes and returns, and reports of another writer."""
     faults = []
     at_s = WARM_UP_S
     while (at_s := at_s + rng.expovariate(1 / MEAN_CUT_INTERVAL_S)) < seconds:
         fault = Fault(at_s, "cut_reborn", rng.choice(size.names("agent")))
         fault.duration_s = rng.uniform(MIN_CUT_S, MAX_CUT_S)
         faults.append(fault)
+    at_s = WARM_UP_S
+    while (at_s := at_s + rng.expovariate(1 / MEAN_ODD_REPORTS_INTERVAL_S)) < seconds:
+        faults.append(Fault(at_s, "odd_reports", rng.choice(size.names("agent"))))
     return faults
 
 
--- a/tests/workload/soak/test_checks.py
+++ b/tests/workload/soak/test_checks.py
@@ -47,6 +47,10 @@
     assert find_violations(make_records()) == []
 
 
+def odd_report_accepted(records):
+    records.odd_report_statuses = [400, 200]
+
+
 def two_runs_at_once(records):
     records.runs.append(make_run(51.2, 51.5, number=2, worker="i-2"))
 
@@ -151,6 +155,7 @@
         (nothing_read_back, "could not be read back"),
         (request_cut_by_a_planned_stop, "planned stop"),
         (no_job_served_in_the_final_load, "no recovery"),
+        (odd_report_accepted, "odd reports"),
     ],
 )
 def test_violation_is_reported(violate, expected_text):
