Count the worker's lease from a lower bound on its clock

Cause: the estimate of the worker's clock assumed that it was read in the middle of the call. An answer to a start may take up to 0.25 s, and the worker may read its clock at once and answer late, or the agent may read the answer late. The next renewal then ended up to 125 ms later than the agent counted, while its margin is 60 ms: runs were said to be lost, and started elsewhere, while they ran.

Change: the clock in an answer counts as that of the moment at which the answer is read, and goes on at the slowest allowed rate. The lease is never longer than it is counted, and shorter by at most the time that an answer took.

--- a/onyxfork/direct/lease.py
+++ b/onyxfork/direct/lease.py
@@ -1,4 +1,4 @@
-"""Lease of an agent on its worker: fencing token, estimate of the worker's clock, expiry."""
+"""Lease of an agent on its worker: fencing token, bound on the worker's clock, expiry."""
 
 from attrs import define
 
@@ -8,6 +8,12 @@
 """First increment of a refused token, in milliseconds like the token. It doubles with each refusal,
 so that a token issued by a clock far ahead is soon exceeded."""
 
+MAX_CLOCK_DRIFT_FACTOR = 1.02
+"""Upper bound on the rate of this process's clock over the rate of the worker's clock."""
+
+STOP_MARGIN_S = 0.06
+"""Time that the worker may take to stop runs whose lease has expired."""
+
 
 class FencingToken:
     """Fencing token that is to be higher than the tokens of all earlier agents of the worker.
@@ -56,27 +62,30 @@
 
 @define
 class WorkerClock:
-    """Estimate of the worker's monotonic clock from its latest answer.
+    """Lower bound on the worker's monotonic clock, from its latest answer.
+
+    A lease that is counted from it ends no later than one counted from the clock itself, however
+    long the answer took and whenever the worker read its clock.
 
     Parameters
     ----------
     clock_ms : float
         The worker's clock in its latest answer.
-    measured_at : float
-        Time of that reading by this process's monotonic clock, 0 before the first answer.
+    answered_at : float
+        When that answer was read, by this process's monotonic clock; 0 before the first answer.
     """
 
     clock_ms: float = 0.0
-    measured_at: float = 0.0
+    answered_at: float = 0.0
 
-    def update(self, clock_ms, sent_at, now):
-        """Set the estimate from an answer; assume the clock was read in the middle of the call."""
+    def update(self, clock_ms, now):
+        """Use the clock in an answer that is read now."""
         if clock_ms is not None:
-            self.clock_ms, self.measured_at = clock_ms, (sent_at + now) / 2
+            self.clock_ms, self.answered_at = clock_ms, now
 
-    def estimate_ms(self, now):
-        """Return the estimate of the worker's clock at a time of this process's clock."""
-        return self.clock_ms + (now - self.measured_at) * 1000
+    def earliest_ms(self, now):
+        """Return the lowest value of the worker's clock at a time of this process's clock."""
+        return self.clock_ms + (now - self.answered_at) * 1000 / MAX_CLOCK_DRIFT_FACTOR
 
 
 @define
@@ -94,15 +103,8 @@
     length_ms: float
     renewed_at: float = 0.0
 
-    MAX_CLOCK_DRIFT_FACTOR = 1.02
-    """Upper bound on the rate of this process's clock over the rate of the worker's clock."""
-
-    STOP_MARGIN_S = 0.06
-    """Time that the worker may take to stop runs whose lease has expired."""
-
     def has_expired(self, now):
         """Return whether the lease has expired and the worker has had time to stop all runs."""
         return (
-            now - self.renewed_at
-            > self.length_ms / 1000 * self.MAX_CLOCK_DRIFT_FACTOR + self.STOP_MARGIN_S
+            now - self.renewed_at > self.length_ms / 1000 * MAX_CLOCK_DRIFT_FACTOR + STOP_MARGIN_S
         )
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -119,8 +119,8 @@
         until_ms = None
         # After a missed renewal only the lists are requested. A renewal may reach the worker even
         # if its answer is lost, so with further renewals the lease might never expire.
-        if self.worker_clock.measured_at and not self.missed_renewals:
-            until_ms = int(self.worker_clock.estimate_ms(sent_at) + self.lease.length_ms)
+        if self.worker_clock.answered_at and not self.missed_renewals:
+            until_ms = int(self.worker_clock.earliest_ms(sent_at) + self.lease.length_ms)
             self.lease.renewed_at = sent_at
         wait_ms = 0
         if self.takeover_complete.is_set() and not self.missed_renewals:
@@ -137,8 +137,7 @@
         if reply.answer != "ok":
             self.on_failed_renewal(reply, token, sent_at, now)
             return retry_delay_s(reply)
-        # The worker may delay its answer; it reads its clock just before it answers.
-        self.worker_clock.update(reply.clock_ms, max(sent_at, now - 0.002), now)
+        self.worker_clock.update(reply.clock_ms, now)
         self.on_renewal_answered(now)
         if self.token.on_accepted():
             self.apply_lists(reply, known_end, sent_at, now)
@@ -256,13 +255,13 @@
         for _ in range(2):
             sent_at = self.clock.now()
             token = run.token = self.token.value
-            until_ms = int(self.worker_clock.estimate_ms(run.ordered_at) + self.lease.length_ms)
+            until_ms = int(self.worker_clock.earliest_ms(run.ordered_at) + self.lease.length_ms)
             self.lease.renewed_at = max(self.lease.renewed_at, sent_at)
             timeout_s = self.answer_times.timeout_s
             reply = await self.client.start(worker, run.order, until_ms, token, timeout_s)
             now = self.clock.now()
             if self.is_credited(worker, reply):
-                self.worker_clock.update(reply.clock_ms, sent_at, now)
+                self.worker_clock.update(reply.clock_ms, now)
             if reply.is_lost:
                 self.list_polls.on_call_lost(now)
             if reply.answer == "unanswered":
--- a/tests/direct/test_late_permissions.py
+++ b/tests/direct/test_late_permissions.py
@@ -132,7 +132,7 @@
         (run,) = agent.arbiter.starts
         agent.arbiter.starts.clear()
         run.ordered_at -= 0.3
-        before_ms = agent.worker_clock.estimate_ms(agent.clock.now())
+        before_ms = agent.worker_clock.earliest_ms(agent.clock.now())
         await agent.start(run)
         assert leases[0] <= before_ms + agent.lease.length_ms - 250
 
