--- a/tests/direct/test_late_permissions.py
+++ b/tests/direct/test_late_permissions.py
@@ -26,6 +26,7 @@
 from onyxfork.direct.agent import DirectAgent, run_agent  # noqa: E402
 from onyxfork.direct.messages import TaskEvents  # noqa: E402
 from onyxfork.direct.telemetry import Telemetry  # noqa: E402
+from onyxfork.direct.worker_client import Reply  # noqa: E402
 from onyxfork.utils import SystemClock  # noqa: E402
 
 
@@ -190,3 +191,31 @@
             assert agent.port is None
             former.close()
             await until(lambda: agent.port == settings.listen.port)
+
+
+# Guards against TWICE: an agent that had started again renewed the lease of what its former process
+# had started, while its orders to stop were not answered and entries placed the tasks elsewhere.
+async def test_lease_of_runs_of_a_former_process_is_not_renewed():
+    worker, leases = StandInWorker(), []
+    worker.running[make_order().ref] = 0
+    renew_lease = worker.renew_lease
+
+    async def leave_unanswered(worker_now, ref, token, timeout_s):
+        await asyncio.sleep(timeout_s)
+        return Reply("unanswered")
+
+    async def record(worker_now, until_ms, *arguments):
+        if worker.running:
+            leases.append(until_ms)
+        await asyncio.sleep(0.001)
+        return await renew_lease(worker_now, until_ms, *arguments)
+
+    worker.stop, worker.renew_lease = leave_unanswered, record
+    agent = DirectAgent(make_settings("s1"), worker, SystemClock(), Telemetry("agent", "s1", "a"))
+    async with run_agent(agent):
+        agent.on_worker_report(make_worker())
+        await until(lambda: len(leases) > 5)
+        worker.running.clear()
+        await agent.takeover_complete.wait()
+        assert set(leases) == {None}
+        await until(lambda: agent.lease.renewed_at)
--- a/tests/direct/test_lease.py
+++ b/tests/direct/test_lease.py
@@ -34,7 +34,7 @@
 
 
 # Guards against TWICE: the clock in an answer that took long was taken for one read in the middle
-# of the call; the lease then outlived its expiry at the agent, which had its runs started elsewhere.
+# of the call; the lease outlived its expiry at the agent, which had its runs started elsewhere.
 @pytest.mark.parametrize("read_at", [10.0, 10.125, 10.25])
 @pytest.mark.parametrize("renewed_at", [10.25, 11.0])
 def test_runs_end_before_their_lease_counts_as_expired_whenever_the_clock_was_read(
