Withdraw runs again on a new connection to their agent

Cause: on a new connection the entry lists the runs that it expects, without those that it has withdrawn. If the withdrawal or its answer was lost with the former connection and the agent no longer has the run (it has started again, or the run has ended), no event followed: the job stayed at its entry for good, with its cores counted as in use, and a caller that sent the job again was refused there.

Change: the withdrawal is sent again after the list; the agent answers with the event that ended the run, or that it never arrived. It can't start or stop anything that is not withdrawn.

--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -43,13 +43,17 @@
     def on_connected(self, node, zone):
         """Register an agent on a new connection and return the runs that it should hold.
 
-        Output that is still to be sent to the agent is dropped: the returned list replaces it.
+        Output that is still to be sent to the agent is dropped: the returned list replaces it. Runs
+        that have been withdrawn are withdrawn again, because the answer may have been lost.
         """
         view = self.workers.setdefault(node, WorkerView(node, zone))
         view.evacuated = view.zone in self.evacuated_zones
         view.connect()
         for pending_by_agent in (self.orders, self.withdrawals, self.recalls):
             pending_by_agent.pop(node, None)
+        withdrawn = [task.ref for task in view.tasks.values() if task.withdrawn]
+        if withdrawn:
+            self.withdrawals[node] = withdrawn
         return [task.ref for task in view.tasks.values() if not task.withdrawn]
 
     def on_disconnected(self, node, now):
--- a/tests/direct/test_late_permissions.py
+++ b/tests/direct/test_late_permissions.py
@@ -98,6 +98,24 @@
     assert kinds(session) == [(0, "stopped")]
 
 
+# Guards against a job that never ends at its entry: the withdrawal of a run or its answer was lost
+# with the connection, and an agent that had started again knew nothing of the run.
+async def test_withdrawal_that_is_lost_with_its_connection_is_sent_again():
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, agent):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: worker.running)
+        connection = entry.connections["s1"]
+        connection.writer.transport.abort()
+        job.cancel()
+        await asyncio.wait([job])
+        agent.arbiter.sessions.clear()
+        agent.arbiter.runs.clear()
+        await until(lambda: entry.connections.get("s1") not in (None, connection))
+        await until(lambda: not entry.dispatcher.jobs)
+        assert entry.dispatcher.millicores_in_use == 0
+
+
 async def test_order_to_start_is_not_sent_after_a_pause():
     """The process was paused after it had decided to start the run and before it sent the order;
     the entry has declared the agent lost meanwhile."""
