Count the wait for a silent entry from the end of its silence timeout

Cause: an agent gives an entry 0.25 s to reconnect before it stops its runs, counted from when it noticed that the connection was silent. A process that runs late noticed it late and waited as long again: up to 0.7 s + 0.25 s + twice its own delay, of the 1.3 s after which a caller sends the job of a lost entry again.

Change: a connection states when it was closed; one that was silent, when it reached its timeout, also if this process was stalled since. The wait is counted from there. A connection that the entry has opened meanwhile replaces the old one as before.

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -285,11 +285,13 @@
             )
             log.info("entry disconnected", extra={"entry": peer.node, "reason": reason})
         finally:
-            self.arbiter.disconnect(session, connection, self.clock.now())
+            now = self.clock.now()
+            closed_at = now if connection.closed_at is None else connection.closed_at
+            self.arbiter.disconnect(session, connection, closed_at)
             if session.connection is None:
-                self.lost_entries.on_disconnected(session.entry, self.clock.now())
-                delay_s = RESUME_TIMEOUT_S + RESUME_CHECK_MARGIN_S
-                asyncio.get_running_loop().call_later(delay_s, self.tick)
+                self.lost_entries.on_disconnected(session.entry, now)
+                delay_s = session.disconnected_at + RESUME_TIMEOUT_S + RESUME_CHECK_MARGIN_S - now
+                asyncio.get_running_loop().call_later(max(0.0, delay_s), self.tick)
 
     def on_message(self, session, connection, message):
         """Process one message of an entry.
--- a/onyxfork/messages/connection.py
+++ b/onyxfork/messages/connection.py
@@ -56,6 +56,10 @@
         The latest value of the peer's clock that was received.
     latest_echo : float
         The highest value of this process's clock that the peer has echoed.
+    heard_at : float
+        Monotonic seconds of the latest arrival; stalls of this process count.
+    closed_at : float or None
+        When the connection was closed, or reached the silence timeout if this was noticed later.
     """
 
     def __init__(self, reader, writer, peer, timing, counter=None):
@@ -72,6 +76,8 @@
         self.last_sent_at = self.loop.time()
         self.liveness = Liveness(timing, self.loop.time())
         self.silence_timer = None
+        self.heard_at = self.loop.time()
+        self.closed_at = None
         self.peer_clock = peer.clock
         self.latest_echo = 0.0
 
@@ -163,7 +169,8 @@
     async def read_frame(self):
         """Read one frame, update the peer's clock and echo, and return the messages."""
         frame = await read_frame_bytes(self.reader)
-        self.liveness.record_arrival(self.loop.time())
+        self.heard_at = self.loop.time()
+        self.liveness.record_arrival(self.heard_at)
         items = unpack(frame)
         for position, item in enumerate(items):
             if self.counter is not None:
@@ -214,7 +221,9 @@
             return
         self.close_reason = reason
         self.closed.set()
+        self.closed_at = self.loop.time()
         if reason == SILENT:
+            self.closed_at = min(self.closed_at, self.heard_at + self.timing.silent_s)
             self.writer.transport.abort()
         else:
             self.writer.close()
--- a/tests/direct/test_late_permissions.py
+++ b/tests/direct/test_late_permissions.py
@@ -24,6 +24,7 @@
 
 from onyxfork.addresses import Address  # noqa: E402
 from onyxfork.direct.agent import DirectAgent, run_agent  # noqa: E402
+from onyxfork.direct.arbiter import RESUME_TIMEOUT_S  # noqa: E402
 from onyxfork.direct.messages import TaskEvents  # noqa: E402
 from onyxfork.direct.telemetry import Telemetry  # noqa: E402
 from onyxfork.direct.worker_client import Reply  # noqa: E402
@@ -116,6 +117,24 @@
         assert entry.dispatcher.millicores_in_use == 0
 
 
+# Guards against TWICE: an agent that noticed the silence of a lost entry late waited for it as long
+# as one that noticed it in time, while the caller sent the job to another entry.
+async def test_wait_for_a_silent_entry_is_counted_from_its_silence():
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, agent):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: worker.running)
+        (run,) = agent.arbiter.runs.values()
+        connection = agent.arbiter.sessions["e1"].connection
+        silence_s = connection.timing.silent_s + RESUME_TIMEOUT_S
+        connection.heard_at -= silence_s
+        connection.liveness.last_arrival_at -= silence_s
+        connection.close_if_silent()
+        await until(lambda: run.reason)
+        assert run.reason == "the entry is unreachable"
+        job.cancel()
+
+
 async def test_order_to_start_is_not_sent_after_a_pause():
     """The process was paused after it had decided to start the run and before it sent the order;
     the entry has declared the agent lost meanwhile."""
