Bound runs by the age of the contact with their entry, not by when its silence is noticed

What callers saw: two runs of a task at the same time with equal run numbers, on the workers of two agents. A caller whose entry had ended sent its job again after 1.3 s, while runs of the first entry went on.

Cause: an agent counted the silence of an entry from when it read its latest bytes, and the wait for its return from when it noticed the silence; a stall of over 0.45 s of the agent itself extended the silence that it allowed. Meanwhile it renewed the worker's lease for a whole second. Its sum (0.69 + 0.25 + 0.05 s) left 0.3 s before the caller's next try, which an agent that got no processor time for half a second exceeds.

Change: each entry echoes the agent's clock, so the latest echo tells how old the agent's knowledge of the entry is, whenever it is read. Runs of an entry are stopped when that is 1.1 s old, also if its connection seems open, and no renewal of the worker's lease and no order to start lasts beyond 1.25 s of it: the worker ends the runs itself if the agent can't. A stop that the worker has acknowledged no longer limits the lease of the other runs. An entry echoes at once on a new connection, so that a connection that is replaced after a silence costs no runs.

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -10,6 +10,7 @@
 from onyxfork.direct.announcements import LostEntries
 from onyxfork.direct.answer_times import AnswerTimes
 from onyxfork.direct.arbiter import RESUME_TIMEOUT_S, Arbiter
+from onyxfork.direct.arbiter_entries import STOP_WITHOUT_CONTACT_S
 from onyxfork.direct.documents import compress_document
 from onyxfork.direct.lease import FencingToken, Lease, WorkerClock
 from onyxfork.direct.links import ControlLinks
@@ -31,6 +32,7 @@
 from onyxfork.direct.worker_driver import WorkerDriver
 from onyxfork.errors import OnyxforkError, ProtocolError
 from onyxfork.messages import open_connection, serve
+from onyxfork.messages.connection import UNREAD_GRACE_S
 from onyxfork.utils import logged_failures, owned_tasks
 
 __all__ = ["DirectAgent", "run_agent"]
@@ -141,9 +143,7 @@
     def apply_decisions(self):
         """Let the arbiter schedule runs, carry out its starts and stops, and report to entries."""
         arbiter = self.arbiter
-        for session in arbiter.sessions.values():
-            if session.connection is not None:
-                session.update_agent_clock(session.connection.latest_echo)
+        self.update_contacts()
         arbiter.schedule(self.clock.now())
         starts, arbiter.starts = arbiter.starts, []
         stops, arbiter.stops = arbiter.stops, []
@@ -159,6 +159,12 @@
         if arbiter.changed:
             self.schedule_status()
 
+    def update_contacts(self):
+        """Date the latest contact with each connected entry by the clock value that it echoed."""
+        for session in self.arbiter.sessions.values():
+            if session.connection is not None:
+                session.update_agent_clock(session.connection.latest_echo)
+
     def schedule_wake(self, at):
         """Schedule the next call of `apply_decisions` for a run that waits to start."""
         if self.wake_timer is None:
@@ -345,6 +351,21 @@
         self.detect_suspension()
         self.arbiter.tick(self.clock.now())
         self.apply_decisions()
+        self.schedule_contact_check()
+
+    def schedule_contact_check(self):
+        """Schedule the stop of runs whose entry will be out of contact before the next tick."""
+        due_at = self.arbiter.earliest_contact() + STOP_WITHOUT_CONTACT_S
+        delay_s = max(0.0, due_at - self.clock.now())
+        if delay_s < TICK_S:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s + UNREAD_GRACE_S, self.check_contacts)
+
+    def check_contacts(self):
+        """Stop the runs of entries that are out of contact; what has arrived was read before."""
+        self.update_contacts()
+        self.arbiter.stop_runs_without_contact(self.clock.now())
+        self.apply_decisions()
 
     def detect_suspension(self):
         """Detect a suspension of the machine, during which the monotonic clock stops."""
@@ -352,7 +373,7 @@
         if suspended_s - self.suspended_s > MIN_SUSPENSION_S:
             gap_s = round(suspended_s - self.suspended_s, 2)
             log.warning("machine was suspended", extra={"seconds": gap_s})
-            self.arbiter.record_suspension(self.clock.now())
+            self.arbiter.record_suspension(self.clock.now(), suspended_s - self.suspended_s)
         self.suspended_s = suspended_s
 
     async def announce_to_entry(self, address):
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -148,6 +148,8 @@
         Median of the projected run times of running runs over their estimates.
     suspension_detected_at : float
         When the latest suspension of the machine was detected.
+    suspended_s : float
+        Duration of that suspension, in seconds.
     unhealthy_until : float
         No run is started before this time.
     changed : bool
@@ -185,6 +187,7 @@
         self.current_run_time_ratio = None
         self.last_tick_at = None
         self.suspension_detected_at = float("-inf")
+        self.suspended_s = 0.0
         self.unhealthy_until = 0.0
         self.changed = False
 
--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -5,15 +5,35 @@
 
 import heapq
 import logging
+import math
 
 from onyxfork.direct.messages import TaskEvent
 from onyxfork.direct.precedence import start_key
-from onyxfork.direct.runs import QUEUED, READY, RUNNING, STALE_AFTER_S, TOO_LARGE, Run, Session
-
-__all__ = ["EntrySessions"]
+from onyxfork.direct.runs import (
+    QUEUED,
+    READY,
+    RUNNING,
+    STALE_AFTER_S,
+    STOPPING,
+    TOO_LARGE,
+    Run,
+    Session,
+)
+
+__all__ = ["EntrySessions", "STOP_WITHOUT_CONTACT_S", "MAX_RUN_WITHOUT_CONTACT_S"]
 
 log = logging.getLogger(__name__)
 
+STOP_WITHOUT_CONTACT_S = 1.1
+"""Age of the latest contact with an entry at which its runs are stopped, whether or not its
+connection is known to be closed. A contact is dated by this agent's clock when it sent the value
+that the entry has echoed, so it is never newer than the entry's knowledge of this agent."""
+
+MAX_RUN_WITHOUT_CONTACT_S = 1.25
+"""Age of the latest contact with an entry up to which the worker's lease covers its runs. On a
+worker's clock that is 2 % slow they end 1.28 s after the contact: before a caller sends its job
+again, 1.3 s after its connection to the entry broke, and before the entry declares them lost."""
+
 MAX_JOBS_LOGGED = 50
 """Upper bound on the jobs named in one log line; a worker usually has fewer runs of one entry."""
 
@@ -69,13 +89,59 @@
     def drop_session(self, session, reason):
         """Remove the session of an entry's process and stop its runs."""
         self.sessions.pop(session.entry, None)
-        runs = [run for run in self.runs.values() if run.session is session]
+        self.stop_runs_of(session, reason, session.disconnected_at)
+
+    def stop_runs_of(self, session, reason, now):
+        """Stop the runs of a session that are not being stopped yet."""
+        runs = [
+            run
+            for run in self.runs.values()
+            if run.session is session and run.state != STOPPING and not run.reason
+        ]
         if runs:
             jobs = sorted({run.order.job for run in runs})[:MAX_JOBS_LOGGED]
             fields = {"entry": session.entry, "runs": len(runs), "jobs": jobs, "reason": reason}
             log.warning("runs of an entry stopped", extra=fields)
         for run in runs:
-            self.stop(run, reason, session.disconnected_at)
+            self.stop(run, reason, now)
+
+    # Contact
+
+    def contact_at(self, session):
+        """Return when the entry of a session was last known to be in contact with this agent.
+
+        Returns
+        -------
+        float
+            Monotonic seconds; infinity if its orders did not come over a connection.
+        """
+        clock = session.latest_agent_clock
+        if clock is None:
+            return math.inf
+        # The monotonic clock has not counted a suspension of the machine since.
+        return clock - self.suspended_s if clock < self.suspension_detected_at else clock
+
+    def sessions_with_started_runs(self):
+        """Return the sessions of runs that the worker may have and has not agreed to stop."""
+        return {
+            run.session
+            for run in self.runs.values()
+            if run.state != QUEUED and run.stop_acknowledged_at is None
+        }
+
+    def earliest_contact(self):
+        """Return the earliest `contact_at` of the sessions that have started runs."""
+        return min(map(self.contact_at, self.sessions_with_started_runs()), default=math.inf)
+
+    def stop_runs_without_contact(self, now):
+        """Stop the runs of entries that may have ended or lost this agent.
+
+        The agent may notice late that an entry is silent, because it got no processor time itself
+        or because the network delays what the entry sent before.
+        """
+        for session in {run.session for run in self.runs.values()}:
+            if now >= self.contact_at(session) + STOP_WITHOUT_CONTACT_S:
+                self.stop_runs_of(session, "no contact with the entry", now)
 
     def place(self, session, orders, now, agent_clock=None):
         """Enqueue the orders of an entry, and return those that are stale or refused.
@@ -114,9 +180,10 @@
             key = start_key(run.latest_start, order.priority)
             heapq.heappush(self.queue, (key, next(self.sequence), run))
 
-    def record_suspension(self, now):
+    def record_suspension(self, now, seconds=0.0):
         """Treat all clock values sent before `now` as stale after a suspension of the machine."""
         self.suspension_detected_at = now
+        self.suspended_s = seconds
 
     def is_clock_stale(self, agent_clock, now):
         """Return whether an entry may have declared this agent lost since it got `agent_clock`."""
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -324,6 +324,7 @@
         refs = self.dispatcher.on_connected(node.node, node.zone)
         self.connections[node.node] = connection
         connection.send(Resume(refs, str(self.settings.address)))
+        connection.ping(self.clock.now())
         self.flush()
         self.control.evacuations.announce(connection)
         log.info("agent connected", extra={"agent": node.node, "runs": len(refs)})
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -7,6 +7,7 @@
 import logging
 from contextlib import suppress
 
+from onyxfork.direct.arbiter_entries import MAX_RUN_WITHOUT_CONTACT_S
 from onyxfork.direct.runs import EVACUATED, STARTING
 from onyxfork.direct.worker_lifetimes import RETRY_DELAY_S, WorkerLifetimes, retry_delay_s
 from onyxfork.utils import logged_failures
@@ -122,7 +123,7 @@
         # former process, whose entries may have placed their tasks elsewhere, get no renewal.
         may_renew = self.takeover_complete.is_set() and not self.missed_renewals
         if may_renew and self.worker_clock.answered_at:
-            until_ms = int(self.worker_clock.earliest_ms(sent_at) + self.lease.length_ms)
+            until_ms = self.lease_end_ms(sent_at)
             self.lease.renewed_at = sent_at
         wait_ms = 0
         if may_renew:
@@ -145,6 +146,17 @@
             self.apply_lists(reply, known_end, sent_at, now)
         return 0.0
 
+    def lease_end_ms(self, requested_at):
+        """Return until when a request extends the lease, in milliseconds of the worker's clock.
+
+        The lease covers runs only as long as their entries are known to have been in contact, so
+        that the worker ends them in time even if this process gets no processor time.
+        """
+        self.update_contacts()
+        covered_until = self.arbiter.earliest_contact() + MAX_RUN_WITHOUT_CONTACT_S
+        length_ms = min(self.lease.length_ms, (covered_until - requested_at) * 1000)
+        return int(self.worker_clock.earliest_ms(requested_at) + length_ms)
+
     @property
     def acknowledged_end(self):
         """Number up to which a request for the lists lets the worker drop ended runs.
@@ -257,7 +269,7 @@
         for _ in range(2):
             sent_at = self.clock.now()
             token = run.token = self.token.value
-            until_ms = int(self.worker_clock.earliest_ms(run.ordered_at) + self.lease.length_ms)
+            until_ms = self.lease_end_ms(run.ordered_at)
             self.lease.renewed_at = max(self.lease.renewed_at, sent_at)
             timeout_s = self.answer_times.timeout_s
             reply = await self.client.start(worker, run.order, until_ms, token, timeout_s)
--- a/onyxfork/messages/connection.py
+++ b/onyxfork/messages/connection.py
@@ -199,12 +199,16 @@
             self.liveness.last_arrival_at += stalled_s
         if now >= self.last_sent_at + timing.heartbeat_s * MIN_PING_SHARE:
             self.last_sent_at = now
-            self.send(Ping(clock=now, echo=self.peer_clock))
+            self.ping(now)
         remaining_s = self.liveness.last_arrival_at + timing.silent_s - now
         if remaining_s < timing.heartbeat_s and self.silence_timer is None:
             delay_s = max(0.0, remaining_s) + UNREAD_GRACE_S
             self.silence_timer = self.loop.call_later(delay_s, self.close_if_silent)
 
+    def ping(self, now):
+        """Send this process's clock, and echo the latest value received of the peer's."""
+        self.send(Ping(clock=now, echo=self.peer_clock))
+
     def close_if_silent(self):
         """Close the connection if the peer is still silent; what has arrived was read before."""
         self.silence_timer = None
--- a/tests/direct/test_evacuation_sequences.py
+++ b/tests/direct/test_evacuation_sequences.py
@@ -58,6 +58,9 @@
             self.check(message)
         self.sent += unpack(pack([message]))
 
+    def ping(self, now):
+        """Heartbeats change no decision here, so they are not queued."""
+
     async def run(self, handler):
         self.handler = handler
         await Suspend()
