Proxy: a link that loses all bytes loses the ends of its connections too

A process that was killed behind such a link still ended its connections at the other side, so a loss of power, which is silent, could not be played with real processes. The end is now passed on when the link no longer loses bytes.

--- a/onyxfork/workload/proxy.py
+++ b/onyxfork/workload/proxy.py
@@ -20,6 +20,9 @@
 CHUNK_BYTES = 65536
 """Upper bound for one read, and for the length of the first frame."""
 
+LOSS_POLL_S = 0.05
+"""Interval at which the end of a connection is tried again while bytes are lost."""
+
 
 @define(frozen=True)
 class Place:
@@ -42,8 +45,8 @@
     ----------
     kind : str
         ``cut`` refuses new connections and resets open ones, in both directions; ``lose`` drops all
-        bytes, on open and new connections; ``silence`` drops all further bytes on the connections
-        that are open when it is set; ``delay`` delays all bytes.
+        bytes, and the ends of connections, on open and new ones; ``silence`` drops all further
+        bytes on the connections that are open when it is set; ``delay`` delays all bytes.
     source, target : str
         Node, zone or rack, or ``all``.
     delay_s : float
@@ -215,6 +218,8 @@
                 chunk = await reader.read(CHUNK_BYTES)
                 if not chunk:
                     break
+            while self.drops(source, target):
+                await asyncio.sleep(LOSS_POLL_S)
             chunks.put_nowait((0.0, b""))
             await sender_task
         finally:
