Take an agent at a connection for the one that was expected only by its name

Cause: an entry took whoever answered at an agent's address for that agent. Addresses are used again: while the directory still lists an agent that has moved or gone (30 s at most), another agent at its address was sent the list of its runs, knew none of them ('never arrived'), and the entry started their tasks elsewhere at once, while the runs might go on. The second connection also replaced the entry's own session with the other agent, which from then on ignored the first one.

Change: the entry checks role and name in the peer's Hello and rejects another node, with the backoff of a failed attempt. The agent gives a connection to the entry's session with its first message, so a rejected connection does not replace the session's own.

Test stand-in changed: the ends of links in test_evacuation_sequences.py have the agent's Hello and closed_at, which a Connection has; no check changes.

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -272,26 +272,40 @@
     # Entries
 
     async def accept(self, connection):
-        """Serve a connection that an entry has opened."""
+        """Serve a connection that an entry has opened.
+
+        It becomes that of the entry's session with its first message: an entry that has expected
+        another agent at this address sends none.
+        """
         if connection.peer.role != "entry":
             raise ProtocolError(f"an agent serves entries, not {connection.peer.role}")
-        peer = connection.peer
-        session = self.arbiter.connect(peer.node, peer.incarnation, connection)
-        log.info("entry connected", extra={"entry": peer.node, "incarnation": peer.incarnation})
+        peer, session = connection.peer, None
+
+        def on_message(connection, message):
+            nonlocal session
+            if session is None:
+                session = self.arbiter.connect(peer.node, peer.incarnation, connection)
+                fields = {"entry": peer.node, "incarnation": peer.incarnation}
+                log.info("entry connected", extra=fields)
+            self.on_message(session, connection, message)
+
         self.control.evacuations.announce(connection)
         try:
-            reason = await connection.run(
-                lambda connection, message: self.on_message(session, connection, message)
-            )
+            reason = await connection.run(on_message)
             log.info("entry disconnected", extra={"entry": peer.node, "reason": reason})
         finally:
-            now = self.clock.now()
-            closed_at = now if connection.closed_at is None else connection.closed_at
-            self.arbiter.disconnect(session, connection, closed_at)
-            if session.connection is None:
-                self.lost_entries.on_disconnected(session.entry, now)
-                delay_s = session.disconnected_at + RESUME_TIMEOUT_S + RESUME_CHECK_MARGIN_S - now
-                asyncio.get_running_loop().call_later(max(0.0, delay_s), self.tick)
+            if session is not None:
+                self.on_disconnected(session, connection)
+
+    def on_disconnected(self, session, connection):
+        """Detach a closed connection from its session; check later whether the entry is back."""
+        now = self.clock.now()
+        closed_at = now if connection.closed_at is None else connection.closed_at
+        self.arbiter.disconnect(session, connection, closed_at)
+        if session.connection is None:
+            self.lost_entries.on_disconnected(session.entry, now)
+            delay_s = session.disconnected_at + RESUME_TIMEOUT_S + RESUME_CHECK_MARGIN_S - now
+            asyncio.get_running_loop().call_later(max(0.0, delay_s), self.tick)
 
     def on_message(self, session, connection, message):
         """Process one message of an entry.
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -320,7 +320,16 @@
         )
 
     def on_agent_connected(self, node, connection):
-        """Send a newly connected agent the list of runs that it should hold."""
+        """Send a newly connected agent the list of runs that it should hold.
+
+        Raises
+        ------
+        ProtocolError
+            When another node has the address now: it does not know the runs of this agent.
+        """
+        peer = connection.peer
+        if (peer.role, peer.node) != ("agent", node.node):
+            raise ProtocolError(f"expected agent {node.node}, connected to {peer.role} {peer.node}")
         refs = self.dispatcher.on_connected(node.node, node.zone)
         self.connections[node.node] = connection
         connection.send(Resume(refs, str(self.settings.address)))
--- a/onyxfork/direct/links.py
+++ b/onyxfork/direct/links.py
@@ -55,7 +55,7 @@
         Returns the `Hello` for a new connection.
     timing : Timing
     on_open : callable
-        Called with each new `Connection`.
+        Called with each new `Connection`; raises `OnyxforkError` to reject the peer.
     on_message : callable
         Called as ``on_message(connection, message)``.
     on_close : callable
@@ -93,8 +93,8 @@
                 self.timing,
                 self.counter,
             ) as connection:
-                opened = True
                 self.on_open(connection)
+                opened = True
                 reason = "closed by this process"
                 try:
                     reason = await connection.run(self.on_message)
--- a/tests/direct/test_evacuation_sequences.py
+++ b/tests/direct/test_evacuation_sequences.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import sys
+from functools import partial
 from pathlib import Path
 
 from attrs import define, evolve, field
@@ -52,6 +53,7 @@
     handler: object = None
     peer_clock: float = 1.0
     latest_echo: float = 1.0
+    closed_at: object = None
 
     def send(self, message):
         if self.check is not None:
@@ -103,7 +105,8 @@
             return
         accepting = self.nodes[agent]
         hello = self.nodes[entry].settings.hello("entry", 1.0)
-        to_agent = End(None, check=lambda message: self.check_order(entry, agent, message))
+        check = partial(self.check_order, entry, agent)
+        to_agent = End(accepting.hello(), check=check)
         to_entry = End(hello)
         serving = accepting.accept(to_entry)
         serving.send(None)
--- a/tests/direct/test_path.py
+++ b/tests/direct/test_path.py
@@ -147,6 +147,20 @@
         assert worker.stopped == []
 
 
+# Guards against TWICE: another agent at the address of one that has moved was taken for it; it knew
+# none of the runs, which were started elsewhere while they went on at the agent that had them.
+async def test_agent_is_not_taken_for_another_one_that_had_its_address():
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, agent):
+        address = f"127.0.0.1:{agent.port}"
+        entry.control.add_announced_node(DirectoryNode("s2", "agent", "a", address))
+        await asyncio.sleep(0.1)
+        assert set(entry.connections) == set(entry.dispatcher.workers) == {"s1"}
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: worker.running)
+        job.cancel()
+
+
 async def test_runs_are_stopped_when_their_caller_leaves():
     worker = StandInWorker()
     async with run_path(worker) as (entry, _):
