Soak: profiles with the users' shapes, callers that send again, outages of several processes

The soak had one shape: few processes, low load and callers that never send a job again after a timeout. Profiles now give it the users' shapes with their load; callers send a job again after a timeout, to another entry with a deadline of its own. A sequence of its own draws outages of several processes, so the other faults of a seed stay the same. Overlapping runs are reported with both runs, the attempts of their job and the log lines that name it.

--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -280,9 +280,11 @@
     seed: int = 1,
     seconds: float = 20.0,
     seeds: int = 1,
-    controls: int = 3,
-    entries: int = 3,
-    agents: int = 5,
+    profile: str = "small",
+    busy: int | None = None,
+    controls: int | None = None,
+    entries: int | None = None,
+    agents: int | None = None,
     keep: Path | None = None,
 ):
     """Run the programs of onyxfork.platform under random faults and check their guarantees.
@@ -290,25 +292,33 @@
     :param seed: seed of the faults and the load; the same seed gives the same faults
     :param seconds: duration in which faults are injected; a recovery phase and more load follow
     :param seeds: number of runs, one after the other, with consecutive seeds
-    :param controls: number of control instances
-    :param entries: number of entries
-    :param agents: number of agents, each with a stand-in worker
+    :param profile: small, four-zones, large-workers, small-workers or many-workers
+    :param busy: number of processes that keep cores of the machine busy meanwhile
+    :param controls: number of control instances, unless that of the profile
+    :param entries: number of entries, unless that of the profile
+    :param agents: number of agents, each with a stand-in worker, unless that of the profile
     :param keep: folder for settings, logs and data, with one folder per seed
     """
     import asyncio
     import signal
 
+    from attrs import evolve
+
     from onyxfork.workload.soak import run_soak
-    from onyxfork.workload.soak.schedule import SoakSize
+    from onyxfork.workload.soak.profiles import SoakProfile
 
     # SIGTERM raises KeyboardInterrupt, so that the processes started by the soak are ended.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
 
-    size = SoakSize(controls, entries, agents)
+    shape = SoakProfile.from_name(profile)
+    if busy is not None:
+        shape = evolve(shape, busy=busy)
+    counts = {"controls": controls, "entries": entries, "agents": agents}
+    size = evolve(shape.size, **{name: n for name, n in counts.items() if n is not None})
     failed = 0
     for run_seed in range(seed, seed + seeds):
         folder = keep / f"seed-{run_seed}" if keep is not None else None
-        verdict = asyncio.run(run_soak(run_seed, seconds, size, folder))
+        verdict = asyncio.run(run_soak(run_seed, seconds, size, folder, profile=shape))
         failed += not verdict.passed
         print(verdict)
     return EXIT_REFUSED if failed else 0
--- a/onyxfork/workload/soak/checks.py
+++ b/onyxfork/workload/soak/checks.py
@@ -1,7 +1,7 @@
 """Guarantees that a soak verifies from the records of callers, operators and workers."""
 
 from collections import Counter
-from itertools import pairwise
+from itertools import combinations
 
 from attrs import define, field
 
@@ -63,6 +63,8 @@
         Whether the caller disconnects early, without waiting for the outcome.
     broken_attempts : list of (str, float, float)
         Attempts whose connection broke: entry, time of sending, time of the break.
+    sends : list of (str, float, float)
+        All attempts: entry, time of sending, time of the outcome.
     """
 
     id: str
@@ -75,6 +77,7 @@
     ended_at: float | None = None
     is_abandoned: bool = False
     broken_attempts: list = field(factory=list)
+    sends: list = field(factory=list)
 
 
 @define
@@ -144,6 +147,9 @@
         End of the recovery phase. The jobs sent from then on are the final load, by which recovery
         is judged.
     ended_at : float
+    clock : Clock or None
+    max_lag_s : float
+        Longest delay of a timer of the soak's own process.
     """
 
     jobs: dict = field(factory=dict)
@@ -158,6 +164,8 @@
     planned_stops: list = field(factory=list)
     final_load_from: float = 0.0
     ended_at: float = 0.0
+    clock: object = None
+    max_lag_s: float = 0.0
 
 
 def find_violations(records):
@@ -190,22 +198,44 @@
 
 
 def find_overlapping_runs(records):
-    """Yield a line for each pair of successive runs of one task that overlap."""
+    """Yield a line for each pair of runs of one task that overlap, with the attempts of its job.
+
+    Two runs with the same number were ordered by two entries that had the job; runs with different
+    numbers are one entry's, or those of an entry that has learnt of a higher number.
+    """
     by_task = {}
     for run in records.runs:
         by_task.setdefault(run.task, []).append(run)
     for task, runs in by_task.items():
         runs.sort(key=lambda run: run.started_at)
-        for first, second in pairwise(runs):
-            ended_at = first.ended_at if first.ended_at is not None else records.ended_at
-            if ended_at > second.started_at + OVERLAP_TOLERANCE_S:
+        for first, second in combinations(runs, 2):
+            ends = [run.ended_at or records.ended_at for run in (first, second)]
+            if ends[0] > second.started_at + OVERLAP_TOLERANCE_S:
+                job = records.jobs.get(first.job)
+                described = ", ".join(describe_run(run, job) for run in (first, second))
+                sends = ", ".join(
+                    f"{entry} {sent_at:.2f}-{ended_at:.2f} s"
+                    for entry, sent_at, ended_at in (job.sends if job else ())
+                )
                 yield (
-                    f"two runs at once: {task} run {first.run} on {first.worker} until "
-                    f"{ended_at:.2f} s, run {second.run} on {second.worker} from "
-                    f"{second.started_at:.2f} s"
+                    f"two runs at once for {min(ends) - second.started_at:.3f} s: {task} "
+                    f"{described}; attempts: {sends}: {job.attempts if job else []}"
                 )
 
 
+def describe_run(run, job):
+    """Return the times, the worker and the order of a run, and the entries that had its job."""
+    ended = "the end of the soak" if run.ended_at is None else f"{run.ended_at:.3f} s"
+    entries = [
+        entry for entry, sent_at, _ in (job.sends if job else ()) if sent_at <= run.started_at
+    ]
+    return (
+        f"run {run.run} on {run.worker} from {run.started_at:.3f} s to {ended} "
+        f"({run.outcome or 'running'}{', carried out late' if run.started_late else ''}, "
+        f"job sent to {' then '.join(entries) or 'no entry'})"
+    )
+
+
 def find_unrequested_runs(records):
     """Yield a line for each run whose job no caller sent, or whose spec is not that of its job."""
     for run in records.runs:
--- a/onyxfork/workload/soak/cluster.py
+++ b/onyxfork/workload/soak/cluster.py
@@ -29,16 +29,16 @@
 from onyxfork.workload.processes import ManagedProcess, kill_processes
 from onyxfork.workload.proxy import Place, run_proxy
 from onyxfork.workload.soak.load import SERVICE, task_cpu, task_crashes, task_run_s
+from onyxfork.workload.soak.profiles import WORKER_CPU, SoakProfile
 from onyxfork.workload.soak.schedule import zone_of
 
-__all__ = ["SoakCluster", "run_cluster"]
+__all__ = ["SoakCluster", "run_cluster", "WORKER_CPU"]
 
 INTERNAL_PORTS = (7720, 7725)
 CALLERS_PORT, READY_PORT, CONTROL_HTTP_PORT, WORKER_PORT = 8161, 8167, 8166, 8168
 PORT_OFFSETS = {"control": CONTROL_PORT, "agent": AGENT_PORT, "entry": ENTRY_PORT}
 STOP_GRACE_S = 6.0
 RESTART_DELAY_S = 0.3
-WORKER_CPU, WORKER_MEMORY_MB = 32000, 65536
 ADVERTISED_OCTET, LISTENING_OCTET = 0, 1
 """Third octet of the loopback addresses: the address that other processes connect to, which is the
 proxy's, and the one that the process listens on."""
@@ -55,6 +55,7 @@
     network : int
         Second octet of all loopback addresses, so that soaks can run side by side.
     size : SoakSize
+    profile : SoakProfile
 
     Attributes
     ----------
@@ -77,6 +78,7 @@
     size: object
     clock: object
     rng: Random
+    profile: object
     processes: dict = field(factory=dict)
     host_numbers: dict = field(factory=dict)
     workers: dict = field(factory=dict)
@@ -106,7 +108,7 @@
 
     def write_settings(self, name, bootstrap):
         """Write the settings file of a process and return its path."""
-        role, zone = name.partition("-")[0], zone_of(name)
+        role, zone = name.partition("-")[0], zone_of(name, self.size.zone_count)
         host, control = self.address(name, 1).host, [str(addr) for addr in self.control_addresses()]
         fields = node_settings(name, zone, host, INTERNAL_PORTS, control, bootstrap)
         if role == "entry":
@@ -117,8 +119,14 @@
             text = agent_settings(fields, reports, worker, SERVICE, STOP_GRACE_S)
         else:
             operators = self.address(name, CONTROL_HTTP_PORT)
+            tolerated_losses = (self.size.controls - 1) // 2
             text = control_settings(
-                fields, operators, self.folder / name, STOP_GRACE_S, 1, self.size.zones
+                fields,
+                operators,
+                self.folder / name,
+                STOP_GRACE_S,
+                tolerated_losses,
+                self.size.zones,
             )
         path = self.folder / f"{name}.toml"
         path.write_text(text)
@@ -146,8 +154,8 @@
         self.workers[name] = StandInWorker(
             name,
             SERVICE,
-            WORKER_CPU,
-            WORKER_MEMORY_MB,
+            self.profile.worker_cpu,
+            self.profile.worker_memory_mb,
             task_run_s,
             task_cpu,
             self.clock,
@@ -221,14 +229,14 @@
 
 
 @asynccontextmanager
-async def run_cluster(folder, network, size, clock, rng):
+async def run_cluster(folder, network, size, clock, rng, profile=None):
     """Run all programs and stand-in workers while the context is open.
 
     Yields
     ------
     SoakCluster
     """
-    cluster = SoakCluster(folder, network, size, clock, rng)
+    cluster = SoakCluster(folder, network, size, clock, rng, profile or SoakProfile.small())
     cluster.host_numbers = {name: number for number, name in enumerate(cluster.names(), 1)}
     ports = {
         name: (
--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -12,7 +12,6 @@
     CONTROL_HTTP_PORT,
     RESTART_DELAY_S,
     STOP_GRACE_S,
-    WORKER_CPU,
 )
 from onyxfork.workload.soak.schedule import UNPLANNED_KINDS
 
@@ -232,9 +231,10 @@
     async def do_shrink(self, fault):
         """Divide a worker's capacity by a factor for the duration of the fault."""
         worker = self.cluster.workers[fault.target]
-        worker.set_capacity(int(WORKER_CPU / fault.amount))
+        usual_cpu = self.cluster.profile.worker_cpu
+        worker.set_capacity(int(usual_cpu / fault.amount))
         await asyncio.sleep(fault.duration_s)
-        worker.set_capacity(WORKER_CPU)
+        worker.set_capacity(usual_cpu)
 
     async def do_leave(self, fault):
         """Drain a worker and end its lifetime as planned."""
--- a/onyxfork/workload/soak/load.py
+++ b/onyxfork/workload/soak/load.py
@@ -19,14 +19,12 @@
     make_invalid_configurations,
 )
 from onyxfork.workload.soak.checks import ConfigurationRecord, JobRecord
+from onyxfork.workload.soak.profiles import CRASHING, SoakProfile
 
-__all__ = ["JobKind", "JOB_KINDS", "Balancer", "Callers", "Operators", "HOST", "SERVICE"]
+__all__ = ["Balancer", "Callers", "Operators", "HOST", "SERVICE"]
 
 SERVICE = "meldingsbord"
 HOST = "soak.example"
-CALLER_TIMEOUT_S = 8.0
-"""How long a caller waits for its job; also sent in the deadline header."""
-
 RESEND_DELAY_S = 1.3
 """Delay after which a caller sends its job again if its connection failed or the outcome is
 unknown."""
@@ -63,46 +61,6 @@
 of kilobytes long."""
 
 
-CRASHING = "crash"
-"""Last word of the spec of a job whose first task crashes each worker that starts it."""
-
-
-@define(frozen=True)
-class JobKind:
-    """Jobs of one queue; their rates have the proportions of the users' load.
-
-    Parameters
-    ----------
-    queue : str
-    priority : int
-        0 is the highest.
-    jobs_per_s : float
-    tasks : int
-    run_ms : int
-        Usual run time of a task.
-    cpu : int
-        Thousandths of a core that a task needs.
-    """
-
-    queue: str
-    priority: int
-    jobs_per_s: float
-    tasks: int
-    run_ms: int
-    cpu: int = 3100
-
-    def spec(self, crashing=False):
-        """Return the spec of a job, from which the stand-in worker reads what a task does."""
-        return f"{self.cpu} {self.run_ms}" + (f" {CRASHING}" if crashing else "")
-
-
-JOB_KINDS = (
-    JobKind("notice-check", 0, 2.9, 8, 120),
-    JobKind("issue-proof", 2, 0.5, 4, 1800),
-    JobKind("roll-lookup", 1, 8.4, 2, 400),
-)
-
-
 def task_crashes(spec, task):
     """Return whether a task crashes its worker: the first one of a job that is marked for it."""
     return spec.endswith(CRASHING) and task.endswith(".0")
@@ -181,6 +139,7 @@
     Parameters
     ----------
     records : SoakRecords
+    profile : SoakProfile
     stop_at : float
         When to stop submitting jobs.
     rate_factor : float
@@ -199,6 +158,7 @@
     records: object
     clock: object
     rng: Random
+    profile: SoakProfile = field(factory=SoakProfile.small)
     stop_at: float = float("inf")
     rate_factor: float = 1.0
     abandoned_share: float = 0.0
@@ -210,15 +170,17 @@
 
     async def run(self):
         """Submit jobs until `stop_at`, then wait for their outcomes."""
-        total_per_s = sum(kind.jobs_per_s for kind in JOB_KINDS)
+        kinds = self.profile.kinds
+        total_per_s = sum(kind.jobs_per_s for kind in kinds)
         while self.clock.now() < self.stop_at:
-            kind = self.rng.choices(JOB_KINDS, [kind.jobs_per_s for kind in JOB_KINDS])[0]
+            kind = self.rng.choices(kinds, [kind.jobs_per_s for kind in kinds])[0]
             task = asyncio.create_task(self.submit(kind))
             self.pending.add(task)
             task.add_done_callback(self.pending.discard)
             await asyncio.sleep(self.rng.expovariate(total_per_s * self.rate_factor))
         if self.pending:
-            await asyncio.wait(self.pending, timeout=CALLER_TIMEOUT_S + ANSWER_GRACE_S)
+            longest_s = max(kind.timeout_s for kind in kinds) * (self.profile.max_attempts or 1)
+            await asyncio.wait(self.pending, timeout=longest_s + ANSWER_GRACE_S)
         for session in self.sessions:
             await session.close()
 
@@ -232,23 +194,35 @@
         return Caller(session)
 
     async def submit(self, kind):
-        """Submit one job, and again after a failed connection, 502 or 504, until the timeout."""
+        """Submit one job, and again after a failed connection, 502 or 504.
+
+        Callers whose profile bounds the number of attempts also send the job again after a timeout,
+        with a new timeout; others send it until the timeout of the first attempt.
+        """
         now = self.clock.now()
         spec = kind.spec(self.crashing_share > 0 and self.rng.random() < self.crashing_share)
         job = JobRecord(f"{next(self.job_numbers):016x}", spec, kind.tasks, now)
         self.records.jobs[job.id] = job
         job.is_abandoned = self.rng.random() < self.abandoned_share
-        deadline = now + (ABANDON_AFTER_S if job.is_abandoned else CALLER_TIMEOUT_S)
+        deadline = now + (ABANDON_AFTER_S if job.is_abandoned else kind.timeout_s)
         caller = self.acquire_caller()
         while True:
             is_finished = await self.submit_once(caller, kind, job, deadline)
-            if is_finished or self.clock.now() + RESEND_DELAY_S >= deadline:
+            if is_finished or not self.sends_again(job, deadline):
                 break
             caller.entry = self.balancer.choose_entry(avoid=caller.entry)
             await asyncio.sleep(RESEND_DELAY_S)
+            if self.profile.max_attempts is not None:
+                deadline = self.clock.now() + kind.timeout_s
         job.ended_at = self.clock.now()
         self.idle_callers.append(caller)
 
+    def sends_again(self, job, deadline):
+        """Return whether a caller sends a job again after an attempt without an answer."""
+        if self.profile.max_attempts is None:
+            return self.clock.now() + RESEND_DELAY_S < deadline
+        return not job.is_abandoned and len(job.attempts) < self.profile.max_attempts
+
     async def submit_once(self, caller, kind, job, deadline):
         """Send a job once; return whether no further attempt is needed."""
         caller.entry = caller.entry or self.balancer.choose_entry()
@@ -268,12 +242,14 @@
                     return response.status not in (502, 504)
         except TimeoutError:
             job.attempts.append("timeout")
-            return True
+            return self.profile.max_attempts is None
         except aiohttp.ClientConnectorError:
             job.attempts.append("refused connection")
         except (OSError, ValueError, aiohttp.ClientError):
             job.attempts.append("broken")
             job.broken_attempts.append((caller.entry, sent_at, self.clock.now()))
+        finally:
+            job.sends.append((caller.entry, sent_at, self.clock.now()))
         return False
 
 
@@ -286,6 +262,8 @@
     addresses : list of Address
         HTTP addresses of the control instances.
     records : SoakRecords
+    kinds : tuple of JobKind
+        Their queues are configured.
     versions : itertools.count
         Numbers of the configurations to come.
     """
@@ -295,6 +273,7 @@
     records: object
     clock: object
     rng: Random
+    kinds: tuple = field(factory=lambda: SoakProfile.small().kinds)
     versions: count = field(factory=lambda: count(1))
 
     async def run(self):
@@ -316,7 +295,7 @@
     async def change_configuration(self, extra_queues=0):
         """Send a new configuration until it is acknowledged."""
         version = next(self.versions)
-        queues = {kind.queue: kind.priority for kind in JOB_KINDS}
+        queues = {kind.queue: kind.priority for kind in self.kinds}
         body = encode_configuration(version, SERVICE, queues, HOST, extra_queues)
         await self.put_configuration(version, body, valid=True)
 
@@ -333,7 +312,7 @@
     async def send_invalid(self):
         """Send configurations that must be refused."""
         version = next(self.versions)
-        queues = {kind.queue: kind.priority for kind in JOB_KINDS}
+        queues = {kind.queue: kind.priority for kind in self.kinds}
         valid_body = encode_configuration(version, SERVICE, queues, HOST)
         for body in make_invalid_configurations(valid_body):
             await self.put_configuration(version, body, valid=False)
--- a/onyxfork/workload/soak/run.py
+++ b/onyxfork/workload/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import re
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -12,17 +13,18 @@
 
 from onyxfork.errors import UnavailableError
 from onyxfork.utils.clock import SystemClock
+from onyxfork.workload.soak.busy import run_busy_processes
 from onyxfork.workload.soak.checks import SoakRecords, find_violations
 from onyxfork.workload.soak.cluster import (
     CALLERS_PORT,
     CONTROL_HTTP_PORT,
     READY_PORT,
-    WORKER_CPU,
     run_cluster,
 )
 from onyxfork.workload.soak.faults import FaultInjector
 from onyxfork.workload.soak.load import Balancer, Callers, Operators
-from onyxfork.workload.soak.schedule import RECOVERY_S, SoakSize, draw_schedule, zone_of
+from onyxfork.workload.soak.profiles import SoakProfile
+from onyxfork.workload.soak.schedule import RECOVERY_S, draw_schedule, zone_of
 
 __all__ = ["SoakVerdict", "run_soak"]
 
@@ -30,6 +32,13 @@
 FINAL_LOAD_S = 4.0
 """Duration of the final load, by which recovery is judged."""
 
+MAX_OTHER_PHASES_S = 120.0
+"""Upper bound on the duration of a soak in addition to that of its faults."""
+
+LAG_INTERVAL_S = 0.05
+
+OVERLAP_PATTERN = re.compile(r"^two runs at once .*?: (\w+)\.")
+
 FIRST_NETWORK, NETWORK_COUNT = 20, 200
 """Second octets of the loopback addresses of soaks; each soak derives its own octet from its
 process id."""
@@ -53,6 +62,10 @@
     ----------
     violations : list of str
         A line for each violation of a guarantee and for each unexpected exit of a process.
+    traces : list of str
+        Lines of the processes' logs that name a job two runs of which overlapped.
+    max_lag_s : float
+        Longest delay of a timer of the soak itself, which plays workers, callers and links.
     """
 
     seed: int
@@ -63,6 +76,8 @@
     runs: int = 0
     configurations: int = 0
     faults: list = field(factory=list)
+    traces: list = field(factory=list)
+    max_lag_s: float = 0.0
 
     @property
     def passed(self):
@@ -74,9 +89,9 @@
         counts = (
             f"seed {self.seed}: {outcome}; {len(self.faults)} faults, {self.jobs} jobs, "
             f"{self.completed} completed, {self.refused} refused, {self.runs} runs, "
-            f"{self.configurations} configurations"
+            f"{self.configurations} configurations; own timers up to {self.max_lag_s:.2f} s late"
         )
-        return "\n".join([counts, *(f"  {line}" for line in self.violations)])
+        return "\n".join([counts, *(f"  {line}" for line in [*self.violations, *self.traces])])
 
 
 async def wait_until_ready(callers, clock):
@@ -93,7 +108,9 @@
         await asyncio.sleep(0.1)
 
 
-async def run_soak(seed, seconds, size=None, folder=None, print_line=print, draw=draw_schedule):
+async def run_soak(
+    seed, seconds, size=None, folder=None, print_line=print, draw=draw_schedule, profile=None
+):
     """Run one soak.
 
     Parameters
@@ -103,53 +120,86 @@
     seconds : float
         Duration in which faults start; a recovery phase of `RECOVERY_S` and the final load follow.
     size : SoakSize, optional
+        That of the profile by default.
     folder : path-like, optional
         For settings, logs and data; a temporary folder by default.
     print_line : callable
         Prints a line of the timeline.
     draw : callable
         Returns the faults for a seed, a duration and a size.
+    profile : SoakProfile, optional
 
     Returns
     -------
     SoakVerdict
     """
-    size = size or SoakSize()
+    profile = profile or SoakProfile.small()
+    size = size or profile.size
     faults = draw(seed, seconds, size)
     with TemporaryDirectory() as temporary:
         path = Path(folder or temporary)
         os.makedirs(path, exist_ok=True)
-        records, unexpected_exits = await run_phases(seed, size, path, print_line, faults)
+        with run_busy_processes(profile.busy, seconds + MAX_OTHER_PHASES_S):
+            records, unexpected_exits = await run_phases(
+                seed, size, path, print_line, faults, profile
+            )
+        violations = find_violations(records)
+        traces = find_traces(path, violations)
     jobs = list(records.jobs.values())
     return SoakVerdict(
         seed,
-        [*find_violations(records), *unexpected_exits],
+        [*violations, *unexpected_exits],
         jobs=len(jobs),
         completed=sum(job.state == "completed" for job in jobs),
         refused=sum(job.attempts[-1:] == ["503"] for job in jobs),
         runs=len(records.runs),
         configurations=sum(not record.is_read for record in records.configurations),
         faults=[str(fault) for fault in faults],
+        traces=traces,
+        max_lag_s=records.max_lag_s,
     )
 
 
-async def run_phases(seed, size, folder, print_line, faults):
+def find_traces(folder, violations):
+    """Return the lines of the processes' logs that name the jobs of overlapping runs."""
+    jobs = {match[1] for line in violations if (match := OVERLAP_PATTERN.search(line))}
+    if not jobs:
+        return []
+    return [
+        f"{path.stem}: {line}"
+        for path in sorted(folder.glob("*.log"))
+        for line in path.read_text(errors="replace").splitlines()
+        if any(job in line for job in jobs)
+    ]
+
+
+async def measure_lag(records):
+    """Record the longest delay of a timer of this process."""
+    while True:
+        due_at = records.clock.now() + LAG_INTERVAL_S
+        await asyncio.sleep(LAG_INTERVAL_S)
+        records.max_lag_s = max(records.max_lag_s, records.clock.now() - due_at)
+
+
+async def run_phases(seed, size, folder, print_line, faults, profile):
     """Run the processes, the load and the faults; return the records and the unexpected exits."""
-    clock, rng, records = SoakClock(), Random(seed), SoakRecords()
+    clock, rng = SoakClock(), Random(seed)
+    records = SoakRecords(clock=clock)
     network = FIRST_NETWORK + os.getpid() % NETWORK_COUNT
     async with (
-        run_cluster(folder, network, size, clock, rng) as cluster,
+        run_cluster(folder, network, size, clock, rng, profile) as cluster,
         aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session,
     ):
         entries = size.names("entry")
         ready = {name: cluster.address(name, READY_PORT) for name in entries}
         balancer = Balancer({name: cluster.address(name, CALLERS_PORT) for name in entries}, rng)
-        callers = Callers(balancer, records, clock, rng)
+        callers = Callers(balancer, records, clock, rng, profile)
         control = [cluster.address(name, CONTROL_HTTP_PORT) for name in size.names("control")]
-        operators = Operators(control, session, records, clock, rng)
+        operators = Operators(control, session, records, clock, rng, profile.kinds)
         background = [
             asyncio.create_task(balancer.run(session, ready)),
             asyncio.create_task(operators.run()),
+            asyncio.create_task(measure_lag(records)),
         ]
         try:
             await wait_until_ready(callers, clock)
@@ -170,9 +220,9 @@
         records.ended_at = clock.now()
         for worker in cluster.workers.values():
             records.runs += worker.journal
-            records.zones[f"i-{worker.name}"] = zone_of(worker.name)
+            records.zones[f"i-{worker.name}"] = zone_of(worker.name, size.zone_count)
             if not worker.guards_capacity:
-                changes = [(0.0, WORKER_CPU), *worker.capacities]
+                changes = [(0.0, profile.worker_cpu), *worker.capacities]
                 records.capacities[f"i-{worker.name}"] = changes
         return records, cluster.unexpected_exits
 
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -75,6 +75,12 @@
 """Mean time between two short cuts between a worker and its agent, and their duration, below the
 silence after which the agent sends no more orders."""
 
+MEAN_OUTAGE_INTERVAL_S = 3.0
+"""Mean time between two outages of several processes."""
+
+RESENT_AFTER_S = 1.3
+"""When callers whose connections broke send their jobs again, to other entries."""
+
 EVACUATION_SHARE = 0.5
 """Probability that a schedule has evacuations of zones."""
 
@@ -118,11 +124,12 @@
 
 @define(frozen=True)
 class SoakSize:
-    """Number of processes of each role."""
+    """Number of processes of each role, and of availability zones."""
 
     controls: int = 3
     entries: int = 3
     agents: int = 5
+    zone_count: int = ZONE_COUNT
 
     def names(self, role):
         """Return the names of the processes of a role."""
@@ -133,12 +140,12 @@
     @property
     def zones(self):
         """Availability zones that have agents."""
-        return sorted({zone_of(name) for name in self.names("agent")})
+        return sorted({zone_of(name, self.zone_count) for name in self.names("agent")})
 
 
-def zone_of(name):
+def zone_of(name, zone_count=ZONE_COUNT):
     """Return the availability zone of a process."""
-    return f"zone-{int(name.rpartition('-')[2]) % ZONE_COUNT + 1}"
+    return f"zone-{int(name.rpartition('-')[2]) % zone_count + 1}"
 
 
 @define
@@ -267,6 +274,7 @@
     faults = [*draw.faults, *draw_later_faults(Random(f"{seed} later"), seconds, size)]
     faults += draw_evacuations(Random(f"{seed} evacuations"), seconds, size)
     faults += draw_cuts(Random(f"{seed} cuts"), seconds, size)
+    faults += draw_outages(Random(f"{seed} outages"), seconds, size)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -301,6 +309,54 @@
     return faults
 
 
+def draw_outages(rng, seconds, size):
+    """Draw outages of several processes, among them an entry whose callers send again."""
+    faults = []
+    at_s = WARM_UP_S
+    while (at_s := at_s + rng.expovariate(1 / MEAN_OUTAGE_INTERVAL_S)) < seconds:
+        faults += rng.choice((draw_entry_outage, draw_agents_outage, draw_return))(rng, at_s, size)
+    return faults
+
+
+def draw_entry_outage(rng, at_s, size):
+    """Draw the kill, the pause or the isolation of an entry, and trouble when its jobs return."""
+    entry, agents = rng.choice(size.names("entry")), size.names("agent")
+    kind = rng.choice(("kill", "pause", "lose", "delay"))
+    links = rng.sample(agents, max(1, len(agents) // 2))
+    duration_s, returned_at_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S), at_s + RESENT_AFTER_S
+    if kind in ("kill", "pause"):
+        faults = [Fault(at_s, kind, entry, duration_s=duration_s)]
+    else:
+        delay_s = rng.uniform(MIN_LINK_DELAY_S, MAX_LINK_DELAY_S)
+        faults = [Fault(at_s, kind, entry, agent, duration_s, delay_s) for agent in links]
+    later = rng.choice(("kill", "pause", "late", "reborn", "cut_reborn", "mute"))
+    for agent in rng.sample(agents, rng.randint(0, 2)):
+        faults.append(Fault(rng.uniform(at_s, returned_at_s), later, agent))
+        faults[-1].duration_s = rng.uniform(MIN_FAULT_S, RESENT_AFTER_S)
+    return faults
+
+
+def draw_agents_outage(rng, at_s, size):
+    """Draw the kill or the pause of several agents at once, at times with an entry."""
+    agents = size.names("agent")
+    names = rng.sample(agents, rng.randint(2, max(2, len(agents) // 3)))
+    if rng.random() < 0.5:
+        names.append(rng.choice(size.names("entry")))
+    kind, duration_s = rng.choice(("kill", "pause")), rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+    return [Fault(at_s, kind, name, duration_s=duration_s) for name in names]
+
+
+def draw_return(rng, at_s, size):
+    """Draw a worker that leaves or crashes and returns while its agent is killed or paused."""
+    agent, duration_s = rng.choice(size.names("agent")), rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+    kind = rng.choice(("leave", "crash", "reborn"))
+    agent_at_s = rng.uniform(at_s - MIN_FAULT_S, at_s + 3.0)
+    return [
+        Fault(at_s, kind, agent, duration_s=duration_s),
+        Fault(agent_at_s, rng.choice(("kill", "pause")), agent, duration_s=duration_s),
+    ]
+
+
 def draw_evacuations(rng, seconds, size):
     """Draw evacuations of zones, which may overlap; each zone is evacuated at most once."""
     if rng.random() >= EVACUATION_SHARE:
