Soak: entries that pause while their callers' connections are reset and agents pause for less than a lease

Agents notice the silence of such an entry late, because a process adds the time for which it was stalled to the silence that it allows.

--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -261,6 +261,10 @@
         self.burst_factors.remove(fault.amount)
         self.callers.rate_factor = max(self.burst_factors, default=1.0)
 
+    async def do_reset_callers(self, fault):
+        """Reset the connections of callers to an entry, which send their jobs again."""
+        self.callers.reset_connections(fault.target)
+
     async def do_give_up(self, fault):
         """Let a share of the callers disconnect before they are answered."""
         self.callers.abandoned_share = 0.4
--- a/onyxfork/workload/soak/load.py
+++ b/onyxfork/workload/soak/load.py
@@ -152,6 +152,8 @@
         Callers without a job, to be reused.
     pending : set of asyncio.Task
         Jobs in progress.
+    requests : dict of asyncio.Task to str
+        Requests in progress, each with its entry.
     """
 
     balancer: Balancer
@@ -166,6 +168,7 @@
     idle_callers: list = field(factory=list)
     sessions: list = field(factory=list)
     pending: set = field(factory=set)
+    requests: dict = field(factory=dict)
     job_numbers: count = field(factory=count)
 
     async def run(self):
@@ -217,6 +220,12 @@
         job.ended_at = self.clock.now()
         self.idle_callers.append(caller)
 
+    def reset_connections(self, entry):
+        """Reset the connections on which requests to an entry are in progress."""
+        for request, name in list(self.requests.items()):
+            if name == entry:
+                request.cancel()
+
     def sends_again(self, job, deadline):
         """Return whether a caller sends a job again after an attempt without an answer."""
         if self.profile.max_attempts is None:
@@ -231,27 +240,35 @@
         estimate_ms = kind.run_ms * self.rng.uniform(0.6, 1.5)
         body = encode_job(job.spec, kind.tasks, kind.cpu, 64, estimate_ms)
         headers = {"Host": HOST, DEADLINE_HEADER: str(int((deadline - sent_at) * 1000))}
+        url = f"http://{address}{job_path(kind.queue, job.id)}"
+        request = asyncio.create_task(self.post(caller, url, body, headers, job))
+        self.requests[request] = caller.entry
         try:
             async with asyncio.timeout(max(0.01, deadline - sent_at)):
-                async with caller.session.post(
-                    f"http://{address}{job_path(kind.queue, job.id)}", data=body, headers=headers
-                ) as response:
-                    job.attempts.append(str(response.status))
-                    if response.status == 200:
-                        job.state = json.loads(await response.read())["state"]
-                    return response.status not in (502, 504)
+                return await request not in (502, 504)
         except TimeoutError:
             job.attempts.append("timeout")
             return self.profile.max_attempts is None
         except aiohttp.ClientConnectorError:
             job.attempts.append("refused connection")
-        except (OSError, ValueError, aiohttp.ClientError):
+        except (OSError, ValueError, aiohttp.ClientError, asyncio.CancelledError):
+            if asyncio.current_task().cancelling():
+                raise
             job.attempts.append("broken")
             job.broken_attempts.append((caller.entry, sent_at, self.clock.now()))
         finally:
+            del self.requests[request]
             job.sends.append((caller.entry, sent_at, self.clock.now()))
         return False
 
+    async def post(self, caller, url, body, headers, job):
+        """Send a job and record the response; return its status."""
+        async with caller.session.post(url, data=body, headers=headers) as response:
+            job.attempts.append(str(response.status))
+            if response.status == 200:
+                job.state = json.loads(await response.read())["state"]
+            return response.status
+
 
 @define(eq=False)
 class Operators:
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -24,6 +24,9 @@
 REPEATED_SHARE = 0.3
 """Share of faults that are repeated."""
 
+MAX_SHORT_PAUSE_S = 0.95
+"""Upper bound on a pause of an agent that is shorter than the lease of its worker."""
+
 MAX_REPEATS = 3
 MIN_REPEAT_INTERVAL_S, MAX_REPEAT_INTERVAL_S = 0.2, 2.0
 """Time between the starts of a fault and its repetition, so that the repetition begins during the
@@ -53,7 +56,7 @@
 LINK_KINDS = ("delay", "reset", "cut", "lose", "silence")
 WORKER_KINDS = ("crash", "reborn", "fail", "hang", "late", "mute", "shed", "slow", "leave")
 LOAD_KINDS = ("burst", "give_up", "storm", "race", "invalid")
-LATER_KINDS = ("crashing", "shrink", "evacuate", "cut_reborn", "odd_reports")
+LATER_KINDS = ("crashing", "shrink", "evacuate", "cut_reborn", "odd_reports", "reset_callers")
 """Kinds that are drawn from random sequences of their own, so that the other faults of a seed stay
 the same."""
 
@@ -78,6 +81,12 @@
 MEAN_OUTAGE_INTERVAL_S = 3.0
 """Mean time between two outages of several processes."""
 
+MEAN_SILENCE_INTERVAL_S = 4.0
+"""Mean time between two pauses of an entry at which its callers' connections are reset."""
+
+SILENCE_S = 0.7
+"""Silence of an entry after which an agent closes the connection."""
+
 RESENT_AFTER_S = 1.3
 """When callers whose connections broke send their jobs again, to other entries."""
 
@@ -275,6 +284,7 @@
     faults += draw_evacuations(Random(f"{seed} evacuations"), seconds, size)
     faults += draw_cuts(Random(f"{seed} cuts"), seconds, size)
     faults += draw_outages(Random(f"{seed} outages"), seconds, size)
+    faults += draw_silences(Random(f"{seed} silences"), seconds, size)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -357,6 +367,23 @@
     ]
 
 
+def draw_silences(rng, seconds, size):
+    """Draw pauses of entries whose callers send again, and pauses of agents that notice them.
+
+    The pauses of the agents are shorter than the lease of a worker, whose runs continue.
+    """
+    faults, agents = [], size.names("agent")
+    at_s = WARM_UP_S
+    while (at_s := at_s + rng.expovariate(1 / MEAN_SILENCE_INTERVAL_S)) < seconds:
+        entry = rng.choice(size.names("entry"))
+        faults.append(Fault(at_s, "pause", entry, duration_s=rng.uniform(2.0, MAX_FAULT_S)))
+        faults.append(Fault(at_s, "reset_callers", entry))
+        for agent in rng.sample(agents, max(1, len(agents) // 2)):
+            faults.append(Fault(at_s + rng.uniform(0.0, SILENCE_S), "pause", agent))
+            faults[-1].duration_s = rng.uniform(MIN_FAULT_S, MAX_SHORT_PAUSE_S)
+    return faults
+
+
 def draw_evacuations(rng, seconds, size):
     """Draw evacuations of zones, which may overlap; each zone is evacuated at most once."""
     if rng.random() >= EVACUATION_SHARE:
