--- a/onyxfork/workload/soak/run.py
+++ b/onyxfork/workload/soak/run.py
@@ -109,7 +109,14 @@
 
 
 async def run_soak(
-    seed, seconds, size=None, folder=None, print_line=print, draw=draw_schedule, profile=None
+    seed,
+    seconds,
+    size=None,
+    folder=None,
+    print_line=print,
+    draw=draw_schedule,
+    profile=None,
+    recovery_s=RECOVERY_S,
 ):
     """Run one soak.
 
@@ -118,7 +125,7 @@
     seed : int
         Determines the faults and the load.
     seconds : float
-        Duration in which faults start; a recovery phase of `RECOVERY_S` and the final load follow.
+        Duration in which faults start; a recovery phase and the final load follow.
     size : SoakSize, optional
         That of the profile by default.
     folder : path-like, optional
@@ -128,6 +135,8 @@
     draw : callable
         Returns the faults for a seed, a duration and a size.
     profile : SoakProfile, optional
+    recovery_s : float
+        Time from the end of the last fault to the final load.
 
     Returns
     -------
@@ -141,7 +150,7 @@
         os.makedirs(path, exist_ok=True)
         with run_busy_processes(profile.busy, seconds + MAX_OTHER_PHASES_S):
             records, unexpected_exits = await run_phases(
-                seed, size, path, print_line, faults, profile
+                seed, size, path, print_line, faults, profile, recovery_s
             )
         violations = find_violations(records)
         traces = find_traces(path, violations)
@@ -181,7 +190,7 @@
         records.max_lag_s = max(records.max_lag_s, records.clock.now() - due_at)
 
 
-async def run_phases(seed, size, folder, print_line, faults, profile):
+async def run_phases(seed, size, folder, print_line, faults, profile, recovery_s):
     """Run the processes, the load and the faults; return the records and the unexpected exits."""
     clock, rng = SoakClock(), Random(seed)
     records = SoakRecords(clock=clock)
@@ -208,7 +217,7 @@
                 cluster, callers, operators, records, clock, add_timestamps(print_line, clock)
             )
             await injector.run(faults)
-            await asyncio.sleep(RECOVERY_S)
+            await asyncio.sleep(recovery_s)
             records.final_load_from = clock.now()
             callers.stop_at = records.final_load_from + FINAL_LOAD_S
             await load
