--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -96,9 +96,6 @@
         Set once the worker runs nothing that an earlier agent ordered.
     lifetime_begun : asyncio.Event
         Set when a lifetime of the worker begins.
-    departing_lifetime : (str, int) or None
-        A draining lifetime of the worker that has given notice and had runs then. Their loss is no
-        crash.
     successor_known : asyncio.Event
         Set when another lifetime of the worker may have begun.
     port : int or None
@@ -126,7 +123,6 @@
         self.missed_renewals = 0
         self.takeover_complete = asyncio.Event()
         self.lifetime_begun = asyncio.Event()
-        self.departing_lifetime = None
         self.successor_known = asyncio.Event()
         self.port = None
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -179,9 +179,6 @@
                 log.warning("worker does not answer", extra={"answer": reply.answer})
             self.arbiter.set_responsive(False, now)
         if self.lease.has_expired(now):
-            if self.departing_lifetime == self.arbiter.worker.lifetime:
-                self.end_departed_lifetime(self.arbiter.worker)
-                return
             self.arbiter.on_lease_expired(now)
         self.apply_decisions()
 
--- a/onyxfork/direct/worker_lifetimes.py
+++ b/onyxfork/direct/worker_lifetimes.py
@@ -97,8 +97,6 @@
         if current.state == DRAINING and not self.arbiter.has_started_runs:
             self.end_departed_lifetime(current)
         else:
-            if current.state == DRAINING:
-                self.departing_lifetime = current.lifetime
             self.spawn(self.verify_departure(current))
 
     async def verify_departure(self, worker):
