--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -202,11 +202,6 @@
             return SUSPECT
         return EVACUATED if self.evacuated else self.worker.state
 
-    @property
-    def has_started_runs(self):
-        """Whether the worker may run what it was ordered to start."""
-        return any(run.state != QUEUED for run in self.runs.values())
-
     def apply_worker_report(self, worker, now):
         """Apply a report of the worker.
 
--- a/onyxfork/direct/worker_lifetimes.py
+++ b/onyxfork/direct/worker_lifetimes.py
@@ -87,43 +87,29 @@
     def on_worker_left(self, worker_id):
         """End the lifetime of a worker that has reported a planned stop.
 
-        A worker that has not reported that it is draining, or that still has runs, is asked: the
-        notice may be a late one of a former lifetime under the same identifier, and the runs end
-        with the worker's process, not with its notice.
+        A worker that has not reported that it is draining is asked: the notice may be a late one of
+        a former lifetime under the same identifier.
         """
         current = self.arbiter.worker
         if current is None or current.id != worker_id:
             return
-        if current.state == DRAINING and not self.arbiter.has_started_runs:
+        if current.state == DRAINING:
             self.end_departed_lifetime(current)
         else:
             self.spawn(self.verify_departure(current))
 
     async def verify_departure(self, worker):
-        """End the lifetime of a worker that is said to have left once nothing answers there.
-
-        While a draining worker answers, it is asked again until its runs have ended.
-        """
-        while True:
-            reply = await self.list_polls.request(
-                worker, None, self.token.value, self.acknowledged_end, 0, fresh=True
-            )
-            if not self.is_current_lifetime(worker):
-                return
-            if reply.connection_lost or reply.answer == "other-lifetime":
-                break
-            if self.arbiter.worker.state != DRAINING:
-                fields = {
-                    "worker": worker.id,
-                    "started_ms": worker.started_ms,
-                    "answer": reply.answer,
-                }
-                log.warning("notice that the worker has left is ignored", extra=fields)
-                return
-            if not self.arbiter.has_started_runs:
-                break
-            await asyncio.sleep(RETRY_DELAY_S)
-        self.end_departed_lifetime(worker)
+        """End the lifetime of a worker that is said to have left, if nothing answers there."""
+        reply = await self.list_polls.request(
+            worker, None, self.token.value, self.last_end, 0, fresh=True
+        )
+        if not self.is_current_lifetime(worker):
+            return
+        if reply.connection_lost or reply.answer == "other-lifetime":
+            self.end_departed_lifetime(worker)
+            return
+        fields = {"worker": worker.id, "started_ms": worker.started_ms, "answer": reply.answer}
+        log.warning("notice that the worker has left is ignored", extra=fields)
 
     def end_departed_lifetime(self, worker):
         """End the current lifetime, which has left as planned."""
