An agent that takes over reports the ends of its former process's runs, and trusts no full list

What callers would see: a task that is done starts again, or an answer "unknown" for a job that is done.

Cause: an end that the worker lists belonged to whoever is the agent now. A new agent read and acknowledged the ends of runs that its former process had ordered, stored them nowhere, and answered the entry that returned with "never arrived". The entry started the task again, although its end `done` had been taken note of. The same for a run that is missing from both lists because the worker lists 500 ends at a time: it counted as lost.

Change: the agent stores ends of runs that it has not ordered (4,096 at most) and answers with them when an entry resumes or withdraws. Takeover is complete only with a whole list of ends, and a run is judged lost only by a list that is whole.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -115,6 +115,9 @@
     former_sessions : dict
         Sessions that were dropped because the entry was unreachable, by name of its node. They hold
         the events of ended runs for an entry that returns later.
+    unclaimed_ends : dict
+        Outcomes of ended runs, by `TaskRef`, that this process has not ordered; their entries ask
+        for them when they reconnect.
     runs : dict
         Runs by task key; a task has at most one run at a worker.
     queue : list of (float, int, Run)
@@ -168,6 +171,7 @@
         self.crash_counts = []
         self.sessions = {}
         self.former_sessions = {}
+        self.unclaimed_ends = {}
         self.runs = {}
         self.queue = []
         self.sequence = count()
--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -61,11 +61,17 @@
             elif run.state == RUNNING:
                 session.events.append(run.make_event("started", now))
         for ref in wanted.values():
-            session.events.append(
-                session.ended_events.get(ref) or returned_event(ref, "never arrived")
-            )
+            session.events.append(self.find_final_event(session, ref))
         self.changed = True
 
+    def find_final_event(self, session, ref):
+        """Return the event that ended a run that is not here, as far as this agent knows."""
+        if ref in session.ended_events:
+            return session.ended_events[ref]
+        if ref in self.unclaimed_ends:
+            return TaskEvent(ref.job, ref.step, ref.index, ref.run, self.unclaimed_ends[ref])
+        return returned_event(ref, "never arrived")
+
     def drop_session(self, session, reason):
         """Remove the session of an entry's process and stop its runs."""
         self.sessions.pop(session.entry, None)
@@ -151,9 +157,7 @@
             if run is not None and run.session is session and run.order.run == ref.run:
                 self.stop(run, "withdrawn", now)
             else:
-                session.events.append(
-                    session.ended_events.get(ref) or returned_event(ref, "never arrived")
-                )
+                session.events.append(self.find_final_event(session, ref))
 
     def recall(self, session, refs, now):
         """Return runs that are still queued, because another worker has free capacity."""
--- a/onyxfork/direct/arbiter_lists.py
+++ b/onyxfork/direct/arbiter_lists.py
@@ -7,6 +7,9 @@
 
 __all__ = ["WorkerLists"]
 
+MAX_UNCLAIMED_ENDS = 4096
+"""Upper bound on the ends that are stored of runs that this process has not ordered."""
+
 
 class WorkerLists:
     """Mixin that applies the lists of running and ended runs that the worker reports."""
@@ -23,6 +26,7 @@
         for ref, outcome in ended_runs:
             run = self.runs.get(ref.key)
             if run is None or run.order.run != ref.run or run.state == QUEUED:
+                self.store_unclaimed_end(ref, outcome)
                 continue
             if outcome == "done":
                 self.stall_history.record_progress(run)
@@ -32,6 +36,12 @@
                 self.record_run_time((now - run.started_at) * 1000, run.order.expected_ms)
             self.finish(run, outcome, now, run.reason)
 
+    def store_unclaimed_end(self, ref, outcome):
+        """Store the end of a run that a former process of this agent has ordered."""
+        self.unclaimed_ends[ref] = outcome
+        if len(self.unclaimed_ends) > MAX_UNCLAIMED_ENDS:
+            del self.unclaimed_ends[next(iter(self.unclaimed_ends))]
+
     def apply_running(self, listed, asked_at, now):
         """Update the progress of runs and finish those that the worker does not list any more.
 
--- a/onyxfork/direct/worker_client.py
+++ b/onyxfork/direct/worker_client.py
@@ -55,6 +55,8 @@
         Ended runs with their outcomes.
     last_end : int
         Sequence number of the latest run in `ended_runs`.
+    is_truncated : bool
+        Whether further runs may have ended that `ended_runs` does not list.
     timed_out : bool
         Whether there was no answer within the time allowed, or until the request was given up. Set
         by :class:`onyxfork.direct.list_polls.ListPolls`.
@@ -63,6 +65,7 @@
     running: dict = field(factory=dict)
     ended_runs: list = field(factory=list)
     last_end: int = 0
+    is_truncated: bool = field(default=False, kw_only=True)
     timed_out: bool = field(default=False, kw_only=True)
 
 
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -180,7 +180,8 @@
         """Apply the worker's lists of ended and running runs, and stop runs of earlier agents.
 
         The running runs of an answer that a newer one has overtaken are ignored: they may name runs
-        that have ended since, which would be taken for runs of an earlier agent.
+        that have ended since, which would be taken for runs of an earlier agent. So are those
+        beside a truncated list of ended runs: a run that is in neither may be done.
 
         Parameters
         ----------
@@ -194,7 +195,7 @@
         if reply.ended_runs:
             self.last_end = max(self.last_end, reply.last_end)
             self.arbiter.apply_ended_runs(reply.ended_runs, now)
-        if is_overtaken:
+        if is_overtaken or reply.is_truncated:
             self.apply_decisions()
             return
         unknown = self.arbiter.apply_running(reply.running, asked_at, now)
--- a/onyxfork/platform/workers.py
+++ b/onyxfork/platform/workers.py
@@ -26,6 +26,9 @@
 MAX_CONNECTIONS = 48
 """Below the 64 connections that a worker accepts."""
 
+MAX_ENDED_ROWS = 500
+"""How many ended runs a worker lists at a time; further ones follow when these are acknowledged."""
+
 OCCURRENCE = 0
 """Second part of a task name: which repetition of its job the task belongs to. Repeated jobs are
 not supported, so it is always 0."""
@@ -88,7 +91,9 @@
         except ROW_ERRORS as error:
             ignored.append(error)
     # Rows of "ended": number of the end (ascending), task name, run, outcome.
-    for row in read_list(data, "ended", []):
+    ended_rows = read_list(data, "ended", [])
+    reply.is_truncated = len(ended_rows) >= MAX_ENDED_ROWS
+    for row in ended_rows:
         try:
             number = read_integer({"number": row[0]}, "number")
             ended = decode_task(row[1], row[2]), RUN_OUTCOMES.get(row[3], "lost")
