--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -90,6 +90,8 @@
     successor : Worker or None
         Another lifetime that a report or an answer has named, until the worker confirms or refutes
         it. No run starts meanwhile.
+    departing : (str, int) or None
+        The current lifetime if it is said to leave as planned; its end is no crash.
     responsive : bool
         Whether the worker answers renewals of its lease.
     evacuated : bool
@@ -113,6 +115,9 @@
     former_sessions : dict
         Sessions that were dropped because the entry was unreachable, by name of its node. They hold
         the events of ended runs for an entry that returns later.
+    unclaimed_ends : dict
+        Outcomes of ended runs, by `TaskRef`, that this process has not ordered; their entries ask
+        for them when they reconnect.
     runs : dict
         Runs by task key; a task has at most one run at a worker.
     queue : list of (float, int, Run)
@@ -157,7 +162,7 @@
     """
 
     def __init__(self):
-        self.worker = self.successor = None
+        self.worker = self.successor = self.departing = None
         self.ended_lifetimes = deque(maxlen=MAX_ENDED_LIFETIMES)
         self.responsive = True
         self.evacuated = self.restored = False
@@ -168,6 +173,7 @@
         self.crash_counts = []
         self.sessions = {}
         self.former_sessions = {}
+        self.unclaimed_ends = {}
         self.runs = {}
         self.queue = []
         self.sequence = count()
@@ -280,7 +286,7 @@
         """Clear the worker and finish its runs, but those kept, because its lifetime has ended."""
         if self.worker is not None:
             self.ended_lifetimes.append(self.worker.lifetime)
-        self.worker = None
+        self.worker = self.departing = None
         self.cpu_limit = 0
         self.changed = True
         for run in [run for run in self.runs.values() if run not in kept]:
