Sync the log of a control instance before its entries are used after a start

Cause: an instance that was killed between a write and its sync found the entries in its log after the restart and told the leader that it holds them, without a sync. The leader counted that as durable and acknowledged the change. When all instances lost power before the next write, the entry was gone there; with the leader's disk lost too it was gone altogether. Change: open_storage syncs the log file, also after it has cut off an incomplete record. Evidence: tests/control/test_unsynced_writes.py on a stand-in for a disk that loses what was not synced (tests/control/power_loss.py) fails on the code before: the folder holds entry 1 of the 2 that were read. What it costs is one sync at each start.

--- a/onyxfork/control/storage.py
+++ b/onyxfork/control/storage.py
@@ -426,6 +426,8 @@
     try:
         recovered, path = recover(folder, cluster, node, identity, initial_members or Members())
         log_file = open(path, "ab", buffering=0)
+        # A process killed before its sync leaves writes that have been read, but are not durable.
+        os.fsync(log_file.fileno())
         sync_folder(folder)
     except OSError as error:
         raise StorageError(f"{folder}: {error.strerror}") from error
--- /dev/null
+++ b/tests/control/test_unsynced_writes.py
@@ -0,0 +1,45 @@
+"""What a data folder holds after a loss of power during or after a write."""
+
+import sys
+from pathlib import Path
+from random import Random
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent))
+from power_loss import LossyDisk, PowerLost, install_disk  # noqa: E402
+
+from onyxfork.control.raft_messages import Entry, Members  # noqa: E402
+from onyxfork.control.storage import open_storage  # noqa: E402
+
+MEMBERS = Members({"c1#0": "127.0.0.1:1"})
+
+
+def make_disk(tmp_path, monkeypatch, seed, mode):
+    disk = LossyDisk(tmp_path / "pinned", Random(seed), mode)
+    install_disk(monkeypatch, disk)
+    return disk
+
+
+def recover(folder):
+    with open_storage(folder, "test", "c1", "c1#0", MEMBERS) as storage:
+        return storage.recovered.log.entries
+
+
+def test_entry_read_after_a_restart_survives_a_loss_of_power(tmp_path, monkeypatch):
+    """Guards against the loss of an entry that an instance, killed before its sync, acknowledged.
+
+    The restarted instance finds the entry in its log and tells the leader that it holds it.
+    """
+    disk = make_disk(tmp_path, monkeypatch, 1, "lost")
+    folder = tmp_path / "data"
+    with open_storage(folder, "test", "c1", "c1#0", MEMBERS) as storage:
+        storage.write((1, "c1#0"), [Entry(1, 1, 0, b"a")])
+        disk.steps_left = 1
+        with pytest.raises(PowerLost):
+            storage.write(None, [Entry(2, 1, 0, b"b")])
+        disk.steps_left = float("inf")
+    read = recover(folder)
+    disk.lose_power(folder)
+    assert [entry.index for entry in read] == [1, 2]
+    assert recover(folder) == read
