Write what is synced together as one record of the log

Cause: several records were written with one call and one sync. When power is lost before the sync, later blocks of the write may be on the disk without the first ones. The reader then found valid records behind a damaged one, took the log for corrupt and the control instance did not start again (CorruptLogError at each start). After lost disks the group needs that instance. Change: the records of one sync are the bodies of one record with one checksum; logs of earlier versions are read as before. An earlier version can't read the new kind.

--- a/onyxfork/control/storage.py
+++ b/onyxfork/control/storage.py
@@ -3,8 +3,9 @@
 A data folder holds the file ``identity`` (the cluster, node and replica it belongs to), the latest
 snapshot, and one log file with the log entries after the snapshot and the hard state (term and
 vote). A record consists of a magic number, the length and the CRC-32C of its body, and the body in
-msgpack. A last record that is incomplete or damaged was never acknowledged as synced and is
-truncated. A damaged record that is followed by valid ones is an error.
+msgpack. What is written with one sync is one record. A last record that is incomplete or damaged
+was never acknowledged as synced and is truncated. A damaged record that is followed by valid ones
+is an error.
 """
 
 import errno
@@ -33,6 +34,9 @@
 
 ENTRY_RECORD = 1
 HARD_STATE_RECORD = 2
+BATCH_RECORD = 3
+"""A record with the bodies of several others. When power is lost before the sync, later blocks of a
+write may be on the disk without the first ones."""
 
 
 @define
@@ -112,11 +116,11 @@
             ``Ok(bytes written)`` or ``Err(reason)``; every write after an error fails, too,
             unless the error was a full disk.
         """
-        records = []
-        if hard_state is not None:
-            records.append(encode_record([HARD_STATE_RECORD, *hard_state]))
-        records += [encode_record([ENTRY_RECORD, *unstructure(entry)]) for entry in entries]
-        return self.append(b"".join(records))
+        bodies = [] if hard_state is None else [[HARD_STATE_RECORD, *hard_state]]
+        bodies += [[ENTRY_RECORD, *unstructure(entry)] for entry in entries]
+        if not bodies:
+            return self.append(b"")
+        return self.append(encode_record([BATCH_RECORD, *bodies] if bodies[1:] else bodies[0]))
 
     def append(self, data):
         """Append bytes to the log file and sync it."""
@@ -261,6 +265,8 @@
 def read_records(data, name):
     """Return the bodies of the records of a log file and the length of its valid part.
 
+    Those within a record of several are returned one by one.
+
     Parameters
     ----------
     data : bytes
@@ -290,7 +296,7 @@
                 )
             break
         value, offset = record
-        values.append(value)
+        values += value[1:] if value[0] == BATCH_RECORD else [value]
     return values, offset
 
 
--- a/tests/control/test_unsynced_writes.py
+++ b/tests/control/test_unsynced_writes.py
@@ -43,3 +43,23 @@
     disk.lose_power(folder)
     assert [entry.index for entry in read] == [1, 2]
     assert recover(folder) == read
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_folder_can_be_opened_after_a_torn_batch(tmp_path, monkeypatch, seed):
+    """Guards against an instance that never starts again, as a part of a batch is missing.
+
+    The rest of a batch of records that was not synced may be present without its beginning.
+    """
+    disk = make_disk(tmp_path, monkeypatch, seed, "random")
+    folder = tmp_path / "data"
+    with open_storage(folder, "test", "c1", "c1#0", MEMBERS) as storage:
+        storage.write((1, "c1#0"), [Entry(1, 1, 0, b"a")])
+        disk.steps_left = 1
+        with pytest.raises(PowerLost):
+            storage.write((2, "c1#0"), [Entry(index, 2, 0, b"x" * 90) for index in range(2, 8)])
+        disk.steps_left = float("inf")
+    disk.lose_power(folder)
+    entries = recover(folder)
+    assert [entry.index for entry in entries] == list(range(1, len(entries) + 1))
+    assert entries
