Reject records without a body

Cause: a header of which only the magic number was on the disk (the rest zero, as after a torn write) has the length 0 and the checksum of nothing, so it counted as valid and its empty body ended the start of a control instance with 'Unpack failed: incomplete input'.

--- a/onyxfork/control/storage.py
+++ b/onyxfork/control/storage.py
@@ -254,7 +254,8 @@
         return None
     magic, size, checksum = RECORD_HEADER.unpack_from(data, offset)
     begin = offset + RECORD_HEADER.size
-    if magic != RECORD_MAGIC or size > MAX_RECORD_BYTES or begin + size > len(data):
+    # The header of a torn write may be zero after the magic number: CRC-32C of no bytes is 0.
+    if magic != RECORD_MAGIC or not 0 < size <= MAX_RECORD_BYTES or begin + size > len(data):
         return None
     body = data[begin : begin + size]
     if crc32c(body) != checksum:
--- a/tests/control/test_unsynced_writes.py
+++ b/tests/control/test_unsynced_writes.py
@@ -10,7 +10,7 @@
 from power_loss import LossyDisk, PowerLost, install_disk  # noqa: E402
 
 from onyxfork.control.raft_messages import Entry, Members  # noqa: E402
-from onyxfork.control.storage import open_storage  # noqa: E402
+from onyxfork.control.storage import RECORD_MAGIC, open_storage  # noqa: E402
 
 MEMBERS = Members({"c1#0": "127.0.0.1:1"})
 
@@ -63,3 +63,12 @@
     entries = recover(folder)
     assert [entry.index for entry in entries] == list(range(1, len(entries) + 1))
     assert entries
+
+
+def test_header_that_is_zero_after_its_magic_number_is_truncated(tmp_path):
+    """Guards against an instance that never starts again after such a torn write."""
+    with open_storage(tmp_path, "test", "c1", "c1#0", MEMBERS) as storage:
+        storage.write((1, "c1#0"), [Entry(1, 1, 0, b"a")])
+        path = storage.log_path
+    path.write_bytes(path.read_bytes() + RECORD_MAGIC + bytes(60))
+    assert [entry.index for entry in recover(tmp_path)] == [1]
