--- a/tests/control/replica_network.py
+++ b/tests/control/replica_network.py
@@ -191,7 +191,9 @@
         """Start an instance from its data folder."""
         started = asyncio.get_running_loop().create_future()
         task = asyncio.create_task(self.run(name, bootstrap, started))
-        await started
+        await asyncio.wait([task, started], return_when=asyncio.FIRST_COMPLETED)
+        if task.done():
+            task.result()
         self.processes[name] = Process(started.result(), task)
 
     async def run(self, name, bootstrap, started):
@@ -219,9 +221,14 @@
 
     async def kill(self, name):
         """Kill an instance; writes in progress are lost."""
-        process = self.processes.pop(name)
-        process.task.cancel()
-        await asyncio.gather(process.task, return_exceptions=True)
+        await self.kill_together([name])
+
+    async def kill_together(self, names):
+        """Kill instances at the same moment."""
+        tasks = [self.processes.pop(name).task for name in names]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def wipe(self, name):
         """Delete the data folder of an instance that does not run."""
--- a/tests/control/virtual_loop.py
+++ b/tests/control/virtual_loop.py
@@ -24,9 +24,16 @@
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """Event loop on simulated time, without sockets or threads."""
+    """Event loop on simulated time, without sockets or threads.
+
+    Attributes
+    ----------
+    interrupt : callable or None
+        Takes a function and its arguments, of which the caller was cancelled before its end.
+    """
 
     def __init__(self):
+        self.interrupt = None
         self.skipping = SkippingSelector()
         super().__init__(self.skipping)
 
@@ -41,7 +48,12 @@
             if not future.done():
                 future.set_result(func(*args))
 
+        def stop(future):
+            if future.cancelled() and self.interrupt is not None:
+                self.interrupt(func, *args)
+
         self.call_later(DISK_WRITE_S, finish)
+        future.add_done_callback(stop)
         return future
 
 
