Soak: schedules that end with lost disks and the loss of power of all other processes

Drawn from a random sequence of its own, at the earliest DISK_LOSS_MARGIN_S after the last fault of control; the other faults of a seed stay the same (test). The supervisor doesn't start a process a second time that runs already.

--- a/onyxfork/workload/soak/cluster.py
+++ b/onyxfork/workload/soak/cluster.py
@@ -168,6 +168,20 @@
         self.expected_exits.add(name)
         self.processes[name].kill()
 
+    def kill_together(self, names):
+        """Kill processes at the same moment and prevent their restart until `start_together`."""
+        self.held_down.update(names)
+        for name in names:
+            self.processes[name].signal(signal.SIGKILL)
+        for name in names:
+            self.kill(name)
+
+    def start_together(self, names):
+        """Start processes at the same moment."""
+        for name in names:
+            self.start(name)
+        self.held_down.difference_update(names)
+
     def terminate(self, name):
         """Send SIGTERM to a process for a planned stop."""
         self.expected_exits.add(name)
@@ -211,7 +225,7 @@
                     code = process.process.returncode
                     self.unexpected_exits.append(f"{name} exited unexpectedly with status {code}")
                 await asyncio.sleep(RESTART_DELAY_S)
-                if name not in self.held_down:
+                if name not in self.held_down and not process.is_running:
                     self.start(name)
             await asyncio.sleep(0.05)
 
--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -26,6 +26,9 @@
 ODD_REPORTS = 20
 """Reports of another writer that an agent gets one after the other."""
 
+MAX_IN_FLIGHT_S = 0.03
+"""Longest time from the sending of changes to the kill of all processes: about two commits."""
+
 TORN_BYTES = 37
 """Length of the incomplete record at the end of a torn log."""
 
@@ -85,6 +88,26 @@
             self.cluster.kill(name)
         await asyncio.sleep(fault.duration_s)
 
+    async def do_lose_power(self, fault):
+        """Kill every process right after changes of operators; some control instances lose disks.
+
+        The files of the others keep what was written without a sync, unlike in a loss of power.
+        """
+        await self.operators.change_configuration()
+        in_flight = asyncio.create_task(self.operators.send_concurrently())
+        await asyncio.sleep(self.operators.rng.uniform(0.0, MAX_IN_FLIGHT_S))
+        lost = [name for name in (fault.target, fault.other) if name]
+        others = [name for name in self.cluster.names() if name not in lost]
+        self.cluster.kill_together(self.cluster.names())
+        for name in lost:
+            self.cluster.wipe_data(name)
+        await asyncio.sleep(fault.duration_s)
+        first, second = (others, lost) if fault.amount > 0 else (lost, others)
+        self.cluster.start_together(first)
+        await asyncio.sleep(abs(fault.amount))
+        self.cluster.start_together(second)
+        await in_flight
+
     async def do_pause(self, fault):
         """Suspend a process for the duration of the fault."""
         self.cluster.pause(fault.target)
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -32,6 +32,15 @@
 KILL_ALL_SHARE = 0.25
 """Share of schedules that end with a kill of every process."""
 
+POWER_LOSS_SHARE = 0.3
+"""Share of the other schedules that end with lost disks and the kill of all other processes."""
+
+MIN_POWER_LOSS_S, MAX_POWER_LOSS_S = 0.2, 2.0
+"""Time until the processes are back after it."""
+
+MAX_ORDER_S = 1.0
+"""Time between the return of the instances with lost disks and that of all others."""
+
 ALL_LINKS_SHARE = 0.3
 """Share of link faults that affect all links of one process in one direction."""
 
@@ -57,6 +66,9 @@
 """Kinds that are drawn from random sequences of their own, so that the other faults of a seed stay
 the same."""
 
+CLOSING_KINDS = ("kill_all", "lose_power")
+"""Kinds that end a schedule; the second is drawn from a random sequence of its own, too."""
+
 CRASHING_PERIOD_SHARE = 0.5
 """Probability that a schedule has a period of jobs that crash workers."""
 
@@ -100,7 +112,7 @@
 )
 UNPLANNED_KINDS = tuple(
     kind
-    for kind in (*CONTROL_KINDS, *LINK_KINDS, *WORKER_KINDS, *LATER_KINDS, "kill_all")
+    for kind in (*CONTROL_KINDS, *LINK_KINDS, *WORKER_KINDS, *LATER_KINDS, *CLOSING_KINDS)
     if kind not in PLANNED_KINDS
 )
 
@@ -151,13 +163,16 @@
         Start, in seconds from the start of the load, and duration.
     kind : str
     target : str
-        A process; for links, the source of the affected direction; for ``evacuate``, a zone.
+        A process; for links, the source of the affected direction; for ``evacuate``, a zone; for
+        ``lose_power``, a control instance that loses its disk.
     other : str
-        For links, the destination of the affected direction.
+        For links, the destination of the affected direction; for ``lose_power``, the second control
+        instance that loses its disk, if there is one.
     amount : float
         Clock step in milliseconds (``step_clock``), delay in seconds (``delay``), or factor of run
         times (``slow``) or of the rate of jobs (``burst``), divisor of the capacity (``shrink``),
-        or share of jobs (``crashing``); other kinds do not use it.
+        or share of jobs (``crashing``), or seconds by which the instances with lost disks return
+        later than all others (``lose_power``); other kinds do not use it.
     """
 
     at_s: float
@@ -232,7 +247,7 @@
 def touches_control(fault):
     """Return whether a fault may put a control instance out of reach, by its target or its link."""
     names = (fault.target, fault.other)
-    return fault.kind == "kill_all" or any(
+    return fault.kind in CLOSING_KINDS or any(
         name == "all" or name.startswith("control") for name in names
     )
 
@@ -267,9 +282,36 @@
     faults = [*draw.faults, *draw_later_faults(Random(f"{seed} later"), seconds, size)]
     faults += draw_evacuations(Random(f"{seed} evacuations"), seconds, size)
     faults += draw_cuts(Random(f"{seed} cuts"), seconds, size)
+    if kill_all not in faults:
+        faults += draw_power_loss(Random(f"{seed} power"), seconds, size, draw.faults)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_power_loss(rng, seconds, size, faults):
+    """Draw the loss of power of all processes, as many disks of control being lost as tolerated.
+
+    It begins once every control instance has been unaffected for `DISK_LOSS_MARGIN_S`.
+    """
+    if rng.random() >= POWER_LOSS_SHARE:
+        return []
+    affected_until_s = max(
+        (fault.ends_at_s for fault in faults if touches_control(fault)), default=0
+    )
+    return [make_power_loss(rng, max(seconds, affected_until_s + DISK_LOSS_MARGIN_S), size)]
+
+
+def make_power_loss(rng, at_s, size):
+    """Return a ``lose_power`` fault with random instances, duration and order of return."""
+    lost = rng.sample(size.names("control"), (size.controls - 1) // 2)
+    return Fault(
+        at_s,
+        "lose_power",
+        *lost[:2],
+        duration_s=rng.uniform(MIN_POWER_LOSS_S, MAX_POWER_LOSS_S),
+        amount=rng.uniform(-MAX_ORDER_S, MAX_ORDER_S),
+    )
+
+
 def draw_later_faults(rng, seconds, size):
     """Draw periods of crashing jobs and shrinks of workers."""
     faults = []
