Programs end before their grace period does, also while a disk hangs

Cause: a control instance that is stopped waits for the write in progress, without an upper bound; a disk may hang for seconds, so the process outlived its grace period and was killed. Measured: with a sync of 8 s the stop took 7.7 s of 6 allowed. Change: 0.15 s before the end of the grace period a timer thread ends the process, whatever its event loop and other threads wait for. What isn't synced by then hasn't been acknowledged. Evidence: test_control_ends_in_time_while_its_disk_hangs fails on the code before (the process was still there after 15 s).

--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import threading
 from contextlib import asynccontextmanager
 
 from onyxfork.addresses import Address
@@ -30,6 +31,9 @@
 SETTINGS_POLL_INTERVAL_S = 1.0
 """The settings file is polled because it may change without a SIGHUP."""
 
+EXIT_RESERVE_S = 0.15
+"""Last part of the grace period: a process that still runs at its start exits at once."""
+
 EXIT_USAGE = 2
 EXIT_FAILED = 3
 
@@ -180,6 +184,21 @@
             reload(new_settings)
 
 
+def exit_when_overdue(delay_s):
+    """Exit the process after a delay, also if a disk that hangs blocks its event loop or a thread.
+
+    What is not synced by then has not been acknowledged.
+    """
+
+    def end():
+        log.error("stop is overdue; exiting")
+        os._exit(EXIT_FAILED)
+
+    timer = threading.Timer(delay_s, end)
+    timer.daemon = True
+    timer.start()
+
+
 async def run(role):
     """Run the program of a role until SIGTERM."""
     settings = load_platform_settings()
@@ -200,6 +219,7 @@
         gc.enable()
         await stop_requested.wait()
         log.info("stopping")
+        exit_when_overdue(settings.grace_s - EXIT_RESERVE_S)
         await stop_program()
         watch_task.cancel()
         stopped.set()
