--- a/onyxfork/workload/soak/cluster.py
+++ b/onyxfork/workload/soak/cluster.py
@@ -118,7 +118,12 @@
         else:
             operators = self.address(name, CONTROL_HTTP_PORT)
             text = control_settings(
-                fields, operators, self.folder / name, STOP_GRACE_S, 1, self.size.zones
+                fields,
+                operators,
+                self.folder / name,
+                STOP_GRACE_S,
+                self.size.tolerated_losses,
+                self.size.zones,
             )
         path = self.folder / f"{name}.toml"
         path.write_text(text)
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -142,6 +142,11 @@
 
     count_fields = {"control": "controls", "entry": "entries", "agent": "agents"}
 
+    @property
+    def tolerated_losses(self):
+        """Number of control instances of which the loss is tolerated."""
+        return (self.controls - 1) // 2
+
     @property
     def zones(self):
         """Availability zones that have agents."""
@@ -302,7 +307,7 @@
 
 def make_power_loss(rng, at_s, size):
     """Return a ``lose_power`` fault with random instances, duration and order of return."""
-    lost = rng.sample(size.names("control"), (size.controls - 1) // 2)
+    lost = rng.sample(size.names("control"), size.tolerated_losses)
     return Fault(
         at_s,
         "lose_power",
