A new agent does not extend the lease of runs that it has to stop

What callers may see: two runs of a task at once after an agent's restart, for as long as the worker leaves the order to stop the first one unanswered. Cause: an agent that starts while its worker still runs what the earlier agent ordered stops these runs, and until they are gone it renewed the worker's lease with each reading of the lists. A lease applies to all runs of a worker. Change: before the takeover is complete the agent reads the lists without a renewal, so the runs end with the former agent's last renewal even if the orders to stop are lost or late. No run is started before.

--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -118,12 +118,15 @@
         token = self.token.value
         until_ms = None
         # After a missed renewal only the lists are requested. A renewal may reach the worker even
-        # if its answer is lost, so with further renewals the lease might never expire.
-        if self.worker_clock.measured_at and not self.missed_renewals:
+        # if its answer is lost, so with further renewals the lease might never expire. A renewal
+        # before the takeover is complete would extend the lease of an earlier agent's runs, which
+        # entries start elsewhere once that lease has expired.
+        may_renew = self.takeover_complete.is_set() and not self.missed_renewals
+        if self.worker_clock.measured_at and may_renew:
             until_ms = int(self.worker_clock.estimate_ms(sent_at) + self.lease.length_ms)
             self.lease.renewed_at = sent_at
         wait_ms = 0
-        if self.takeover_complete.is_set() and not self.missed_renewals:
+        if may_renew:
             wait_ms = RENEWAL_WAIT_MS if self.arbiter.runs else IDLE_RENEWAL_WAIT_MS
         new_connection = self.missed_renewals > 0
         reply = await self.list_polls.request(
