--- a/onyxfork/workload/soak/cluster.py
+++ b/onyxfork/workload/soak/cluster.py
@@ -119,13 +119,12 @@
             text = agent_settings(fields, reports, worker, SERVICE, STOP_GRACE_S)
         else:
             operators = self.address(name, CONTROL_HTTP_PORT)
-            tolerated_losses = (self.size.controls - 1) // 2
             text = control_settings(
                 fields,
                 operators,
                 self.folder / name,
                 STOP_GRACE_S,
-                tolerated_losses,
+                self.size.tolerated_losses,
                 self.size.zones,
             )
         path = self.folder / f"{name}.toml"
@@ -176,6 +175,20 @@
         self.expected_exits.add(name)
         self.processes[name].kill()
 
+    def kill_together(self, names):
+        """Kill processes at the same moment and prevent their restart until `start_together`."""
+        self.held_down.update(names)
+        for name in names:
+            self.processes[name].signal(signal.SIGKILL)
+        for name in names:
+            self.kill(name)
+
+    def start_together(self, names):
+        """Start processes at the same moment."""
+        for name in names:
+            self.start(name)
+        self.held_down.difference_update(names)
+
     def terminate(self, name):
         """Send SIGTERM to a process for a planned stop."""
         self.expected_exits.add(name)
@@ -219,7 +232,7 @@
                     code = process.process.returncode
                     self.unexpected_exits.append(f"{name} exited unexpectedly with status {code}")
                 await asyncio.sleep(RESTART_DELAY_S)
-                if name not in self.held_down:
+                if name not in self.held_down and not process.is_running:
                     self.start(name)
             await asyncio.sleep(0.05)
 
