Log who ran a task where, under which token, and how old the news of its end was

Change: every line of the platform's programs names its process. 'job ended' has the latest run of at most 32 tasks, 'task runs again' the lifetime, the times and the age of the news. Agents log ends that are not ordinary when they happen, starts of later runs, stops, refused orders and each new fencing token; an ordinary run has no line of its own. Events carry the lifetime that has answered the order to start and the agent's clock; events without these fields are read as before.

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -221,22 +221,12 @@
         session.connection.send(TaskEvents(events))
 
     def count_events(self, events):
-        """Count events of runs and log the runs that ended without success."""
+        """Count events of runs."""
         for event in events:
             self.telemetry.count("task_events", kind=event.kind)
             if event.kind == "done":
                 self.telemetry.observe("run_ms", event.run_ms)
                 self.telemetry.observe("queue_ms", event.queue_ms)
-            elif event.kind != "started":
-                fields = {
-                    "job": event.job,
-                    "task": f"{event.step}.{event.index}",
-                    "run": event.run,
-                    "outcome": event.kind,
-                    "reason": event.reason,
-                    "run_ms": round(event.run_ms),
-                }
-                log.info("run ended", extra=fields)
 
     def send_status(self):
         """Send every connected entry the state and free capacity of the worker."""
--- a/onyxfork/direct/answer_log.py
+++ b/onyxfork/direct/answer_log.py
@@ -6,7 +6,10 @@
 
 from onyxfork.direct.jobs import DONE, chain_lengths
 
-__all__ = ["answer_log_fields"]
+__all__ = ["answer_log_fields", "task_run_fields"]
+
+MAX_TASK_RUNS = 32
+"""Upper bound on the runs named in one log line."""
 
 MIN_RUN_TIME_RATIO = 0.2
 """Lower bound on a worker's run time ratio before a run time is divided by it."""
@@ -102,3 +105,37 @@
         "last_run_ms": round(task.run_ms, 1),
         "last_pace": rounded_ratio(task, workers),
     }
+
+
+def task_run_fields(job):
+    """Return log fields with the latest run of each task; earlier ones have lines of their own.
+
+    Each text has the task and the run, how it ended as far as known (or the state of the task), its
+    agent, the worker's lifetime, the times of its order, its start and the news of its end in
+    milliseconds since the job's arrival, and how old that news was. Runs of tasks that ran again
+    come first if there are more than `MAX_TASK_RUNS`.
+    """
+    tasks = [task for task in job.tasks if task.run]
+    omitted = len(tasks) - MAX_TASK_RUNS
+    if omitted <= 0:
+        return {"task_runs": [describe_task_run(task, job.arrived_at) for task in tasks]}
+    tasks.sort(key=lambda task: -task.run)
+    texts = [describe_task_run(task, job.arrived_at) for task in tasks[:MAX_TASK_RUNS]]
+    return {"task_runs": texts, "task_runs_omitted": omitted}
+
+
+def describe_task_run(task, arrived_at):
+    """Return a text about the latest run of a task, as `task_run_fields` describes it.
+
+    Times are whole milliseconds, as in the time of a log line.
+    """
+    placed_at, age_ms = task.placed_at, task.end_news_age_ms
+    worker, worker_started_ms = task.lifetime
+    lifetime = f"{worker}@{worker_started_ms}" if worker_started_ms else "-"
+    start = round((task.started_at - arrived_at) * 1000) if task.started_at >= placed_at else "-"
+    end = round((task.end_learnt_at - arrived_at) * 1000) if task.end_kind else "-"
+    age = "-" if age_ms is None else round(age_ms)
+    return (
+        f"{task.step}.{task.index}/{task.run} {task.end_kind or task.state} {task.worker} "
+        f"{lifetime} {round((placed_at - arrived_at) * 1000)} {start} {end} {age}"
+    )
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -26,6 +26,7 @@
     include_projections,
     median_run_time_ratio,
 )
+from onyxfork.direct.run_log import log_end, log_start, log_stop
 from onyxfork.direct.runs import (
     ABSENT,
     DRAINING,
@@ -417,6 +418,9 @@
         if run.state == QUEUED:
             self.finish(run, "returned", now, reason)
         elif run.state != STOPPING:
+            # A session that is dropped has one line for all of its runs.
+            if not run.reason and self.sessions.get(run.session.entry) is run.session:
+                log_stop(run, reason)
             run.reason = run.reason or reason
             if run.state == RUNNING:
                 run.state = STOPPING
@@ -437,6 +441,7 @@
             return
         if answer == "started":
             run.state, run.started_at, run.progressed_at = RUNNING, now, now
+            log_start(run)
             self.queue_event(run, run.make_event("started", now))
             if run.reason:
                 self.stop(run, run.reason, now)
@@ -472,6 +477,7 @@
         else:
             self.count_used(run, -1)
         event = run.make_event(kind, now, reason)
+        log_end(run, event)
         ended = run.session.ended_events
         ended[run.order.ref] = event
         if len(ended) > MAX_ENDED_EVENTS:
--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -8,6 +8,7 @@
 
 from onyxfork.direct.messages import TaskEvent
 from onyxfork.direct.precedence import start_key
+from onyxfork.direct.run_log import describe_stopped_runs, log_refused_order
 from onyxfork.direct.runs import QUEUED, READY, RUNNING, STALE_AFTER_S, TOO_LARGE, Run, Session
 
 __all__ = ["EntrySessions"]
@@ -61,9 +62,7 @@
             elif run.state == RUNNING:
                 session.events.append(run.make_event("started", now))
         for ref in wanted.values():
-            session.events.append(
-                session.ended_events.get(ref) or returned_event(ref, "never arrived")
-            )
+            session.events.append(ended_event(session, ref))
         self.changed = True
 
     def drop_session(self, session, reason):
@@ -72,7 +71,14 @@
         runs = [run for run in self.runs.values() if run.session is session]
         if runs:
             jobs = sorted({run.order.job for run in runs})[:MAX_JOBS_LOGGED]
-            fields = {"entry": session.entry, "runs": len(runs), "jobs": jobs, "reason": reason}
+            fields = {
+                "entry": session.entry,
+                "entry_process": session.incarnation,
+                "runs": len(runs),
+                "jobs": jobs,
+                "stopped": describe_stopped_runs(runs),
+                "reason": reason,
+            }
             log.warning("runs of an entry stopped", extra=fields)
         for run in runs:
             self.stop(run, reason, session.disconnected_at)
@@ -106,6 +112,7 @@
             if refusal == "":
                 continue
             if refusal is not None:
+                log_refused_order(session, order.ref, refusal, self.runs.get(order.ref.key))
                 session.events.append(returned_event(order.ref, refusal))
                 continue
             run = Run(order, session, now, now + order.slack_ms / 1000)
@@ -151,9 +158,7 @@
             if run is not None and run.session is session and run.order.run == ref.run:
                 self.stop(run, "withdrawn", now)
             else:
-                session.events.append(
-                    session.ended_events.get(ref) or returned_event(ref, "never arrived")
-                )
+                session.events.append(ended_event(session, ref))
 
     def recall(self, session, refs, now):
         """Return runs that are still queued, because another worker has free capacity."""
@@ -164,6 +169,15 @@
                 self.finish(run, "returned", now, "recalled")
 
 
+def ended_event(session, ref):
+    """Return the event that ended a run of a session which is not at this agent."""
+    event = session.ended_events.get(ref)
+    if event is None:
+        log_refused_order(session, ref, "never arrived")
+        event = returned_event(ref, "never arrived")
+    return event
+
+
 def returned_event(ref, reason):
     """Return the event for a run that was never started."""
     return TaskEvent(ref.job, ref.step, ref.index, ref.run, "returned", reason)
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -410,9 +410,7 @@
     def place(self, task, view, now):
         """Reserve capacity of a worker for a new run of a task, and add the order to the output."""
         self.waiting_tasks.discard(task)
-        task.run += 1
-        task.state, task.worker, task.placed_at = PLACED, view.node, now
-        task.withdrawn = task.recalled = False
+        task.record_order(view.node, now)
         if task.job.first_placed_at is None:
             task.job.first_placed_at = now
         task.job.latest_worker = view.node
@@ -481,6 +479,7 @@
         log.warning("agent lost", extra={"agent": view.node, "runs": len(view.tasks)})
         for task in list(view.tasks.values()):
             task.may_have_started = True
+            task.record_end("lost", now)
             self.reschedule(task, view, "lost", "agent unreachable")
 
     def check_time_limits(self, job, now):
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -75,6 +75,7 @@
         spare_before = self.use.spare_of(view)
         view.update_status(status)
         view.reported_at = now
+        view.record_clock(status.clock, now)
         self.use.spare += self.use.spare_of(view) - spare_before
         if self.waiting_heap:
             self.place_waiting_tasks(now)
@@ -87,6 +88,10 @@
             if task is None or task.run != event.run:
                 continue
             task.job.record_event(task, event, now)
+            if event.worker_started_ms:
+                task.lifetime = view.worker_id, event.worker_started_ms
+            if event.kind != "started":
+                task.record_end(event.kind, now, view.news_age_ms(event, now))
             EVENT_HANDLERS[event.kind](self, task, view, event, now)
         if self.waiting_heap:
             self.place_waiting_tasks(now)
@@ -228,18 +233,27 @@
         fields = {
             "job": task.job.id,
             "task": f"{task.step}.{task.index}",
-            "run": task.run,
+            "run": task.end_run,
             "agent": view.node,
-            "worker": status.worker if status else "",
+            "worker": task.lifetime[0] or view.worker_id,
+            "worker_started_ms": task.lifetime[1] or None,
             "worker_state": status.state if status and view.connected else "unreachable",
             "failing": round(status.failure_share, 2) if status else None,
             "pace": round(status.run_time_ratio, 2) if status else None,
             "outcome": kind,
             "reason": reason,
+            "ordered_ago_ms": rounded(task.ordered_ago_ms),
+            "started_ago_ms": rounded(task.started_ago_ms),
+            "news_age_ms": rounded(task.end_news_age_ms),
         }
         log.info("task runs again", extra=fields)
 
 
+def rounded(milliseconds):
+    """Return milliseconds for a log line; None for None."""
+    return None if milliseconds is None else round(milliseconds, 1)
+
+
 EVENT_HANDLERS = {
     "started": AgentEventMixin.on_started,
     "done": AgentEventMixin.on_done,
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from onyxfork.direct.admission import Refusal
-from onyxfork.direct.answer_log import answer_log_fields
+from onyxfork.direct.answer_log import answer_log_fields, task_run_fields
 from onyxfork.direct.dispatcher import Dispatcher
 from onyxfork.direct.documents import decompress_document
 from onyxfork.direct.entry_load import EntryLoad, Readiness, job_slack_ms
@@ -323,9 +323,11 @@
         """Send a newly connected agent the list of runs that it should hold."""
         refs = self.dispatcher.on_connected(node.node, node.zone)
         self.connections[node.node] = connection
+        self.dispatcher.workers[node.node].record_clock(connection.peer.clock, self.clock.now())
         connection.send(Resume(refs, str(self.settings.address)))
         self.control.evacuations.announce(connection)
-        log.info("agent connected", extra={"agent": node.node, "runs": len(refs)})
+        fields = {"agent": node.node, "agent_process": connection.peer.incarnation}
+        log.info("agent connected", extra={**fields, "runs": len(refs)})
 
     def apply_evacuations(self):
         """Apply a change of the evacuated zones, and pass it on to the connected agents."""
@@ -429,6 +431,7 @@
             "runs": sum(task.run for task in job.tasks),
             "configuration": self.control.document.version if self.control.document else 0,
             **answer_log_fields(job, self.dispatcher.workers),
+            **task_run_fields(job),
         }
         log.info("job ended", extra=fields)
         self.telemetry.count("jobs", queue=queue, state=outcome.state)
--- a/onyxfork/direct/jobs.py
+++ b/onyxfork/direct/jobs.py
@@ -50,6 +50,16 @@
         Runs of which a start event has arrived.
     run_ms : float
         Measured run time of the run that was done; 0 before.
+    lifetime : (str, int)
+        Identifier and start of the worker's lifetime that had the latest run, as far as known.
+    end_kind : str
+        Kind of the event that ended the latest run; empty while none has arrived.
+    end_run : int
+        Number of that run.
+    end_learnt_at : float
+        Monotonic seconds at which that event arrived.
+    end_news_age_ms : float or None
+        How long before that its agent learnt of the end; None if it is not known.
     """
 
     job: "Job"
@@ -71,6 +81,35 @@
     suspected: int = 0
     started_runs: int = 0
     run_ms: float = 0.0
+    lifetime: tuple = ("", 0)
+    end_kind: str = ""
+    end_run: int = 0
+    end_learnt_at: float = 0.0
+    end_news_age_ms: float | None = None
+
+    def record_order(self, node, now):
+        """Begin the record of a new run, ordered at the agent `node`."""
+        self.run += 1
+        self.state, self.worker, self.placed_at = PLACED, node, now
+        self.withdrawn = self.recalled = False
+        self.lifetime, self.end_kind, self.end_news_age_ms = ("", 0), "", None
+
+    @property
+    def started_ago_ms(self):
+        """Time from the start event of the latest run to the news of its end; None without one."""
+        if self.started_at < self.placed_at:
+            return None
+        return (self.end_learnt_at - self.started_at) * 1000
+
+    def record_end(self, kind, now, news_age_ms=None):
+        """Record how and when this entry learnt that the latest run has ended, for log lines."""
+        self.end_kind, self.end_run = kind, self.run
+        self.end_learnt_at, self.end_news_age_ms = now, news_age_ms
+
+    @property
+    def ordered_ago_ms(self):
+        """Time from the latest run's order to the news of its end, in milliseconds."""
+        return (self.end_learnt_at - self.placed_at) * 1000
 
     def record_crashes(self, count):
         """Raise the numbers of crashes to those of a `CrashCount`."""
--- a/onyxfork/direct/lease.py
+++ b/onyxfork/direct/lease.py
@@ -1,9 +1,13 @@
 """Lease of an agent on its worker: fencing token, estimate of the worker's clock, expiry."""
 
+import logging
+
 from attrs import define
 
 __all__ = ["FencingToken", "WorkerClock", "Lease"]
 
+log = logging.getLogger(__name__)
+
 INITIAL_TOKEN_INCREMENT = 1000
 """First increment of a refused token, in milliseconds like the token. It doubles with each refusal,
 so that a token issued by a clock far ahead is soon exceeded."""
@@ -36,12 +40,18 @@
 
     def advance(self):
         """Increase the token, so that a worker that has received it refuses all earlier orders."""
-        self.value += 1
+        self.raise_by(1, "another lifetime of the worker may have begun")
+
+    def raise_by(self, increment, reason):
+        """Increase the token and log why."""
+        fields = {"token": self.value + increment, "before": self.value, "reason": reason}
+        log.info("fencing token raised", extra=fields)
+        self.value += increment
 
     def on_refused(self, value):
         """Increase the token if it is the one that the worker has refused."""
         if value == self.value:
-            self.value += self.increment
+            self.raise_by(self.increment, "refused by the worker")
             self.increment *= 2
             self.is_exclusive = False
 
@@ -49,7 +59,7 @@
         """Return whether the token that the worker has accepted is exclusive; else increase it."""
         if self.is_exclusive:
             return True
-        self.value += 1
+        self.raise_by(1, "an earlier agent may have had the same one")
         self.is_exclusive = True
         return False
 
--- a/onyxfork/direct/messages.py
+++ b/onyxfork/direct/messages.py
@@ -104,6 +104,10 @@
     reason : str
     run_ms, queue_ms : float
         How long the run took, and how long it was queued at the agent before.
+    worker_started_ms : int
+        Start of the worker's lifetime that has the run; 0 if it is not known or not stated.
+    agent_clock : float
+        The agent's clock when it learnt of the change; 0 in events of agents that do not state it.
     """
 
     job: str
@@ -114,6 +118,8 @@
     reason: str = ""
     run_ms: float = 0.0
     queue_ms: float = 0.0
+    worker_started_ms: int = 0
+    agent_clock: float = 0.0
 
 
 @message(130)
--- /dev/null
+++ b/onyxfork/direct/run_log.py
@@ -0,0 +1,119 @@
+"""Log lines of an agent about single runs, from which `onyxfork runs` tells who ran a task where.
+
+An ordinary run, the first of its task that ends as done, has no line of its own.
+"""
+
+import logging
+
+__all__ = [
+    "run_log_fields",
+    "log_start",
+    "log_stop",
+    "log_end",
+    "log_refused_order",
+    "describe_stopped_runs",
+]
+
+log = logging.getLogger(__name__)
+
+MAX_RUNS_LOGGED = 50
+"""Upper bound on the runs named in one log line."""
+
+
+def run_log_fields(run):
+    """Return log fields that identify a run, its entry, its worker and its fencing token.
+
+    The token is that of the latest order to start it, 0 if there was none.
+
+    Parameters
+    ----------
+    run : Run
+
+    Returns
+    -------
+    dict
+    """
+    order, (worker, worker_started_ms) = run.order, run.lifetime
+    return {
+        "job": order.job,
+        "task": f"{order.step}.{order.index}",
+        "run": order.run,
+        "entry": run.session.entry,
+        "entry_process": run.session.incarnation,
+        "worker": worker,
+        "worker_started_ms": worker_started_ms,
+        "token": run.token,
+    }
+
+
+def log_start(run):
+    """Log the confirmed start of a run that is not the first of its task."""
+    if run.order.run > 1:
+        log.info("run started", extra=run_log_fields(run))
+
+
+def log_stop(run, reason):
+    """Log why a run is to be stopped."""
+    log.info("stopping run", extra={**run_log_fields(run), "reason": reason})
+
+
+def log_end(run, event):
+    """Log the end of a run, unless it is an ordinary one.
+
+    Parameters
+    ----------
+    run : Run
+    event : TaskEvent
+        The event of the end.
+    """
+    is_first = run.order.run == 1 and not run.reason and run.session.connection is not None
+    if event.kind == "done" and is_first:
+        return
+    fields = {
+        **run_log_fields(run),
+        "outcome": event.kind,
+        "reason": event.reason,
+        "run_ms": round(event.run_ms),
+        "queue_ms": round(event.queue_ms),
+        "entry_connected": run.session.connection is not None,
+    }
+    log.info("run ended", extra=fields)
+
+
+def log_refused_order(session, ref, reason, held=None):
+    """Log a run that an entry has ordered or expects, and that was not started here.
+
+    Parameters
+    ----------
+    session : Session
+    ref : TaskRef
+    reason : str
+    held : Run, optional
+        The run of the same task that is here.
+    """
+    fields = {
+        "job": ref.job,
+        "task": f"{ref.step}.{ref.index}",
+        "run": ref.run,
+        "entry": session.entry,
+        "entry_process": session.incarnation,
+        "reason": reason,
+    }
+    if held is not None:
+        fields["held_run"] = held.order.run
+        fields["held_entry"] = held.session.entry
+        fields["held_entry_process"] = held.session.incarnation
+    log.info("order refused", extra=fields)
+
+
+def describe_stopped_runs(runs):
+    """Return a text for each run: task, number, state, worker's lifetime and fencing token."""
+    texts = []
+    for run in runs[:MAX_RUNS_LOGGED]:
+        job, step, index = run.key
+        worker, worker_started_ms = run.lifetime
+        texts.append(
+            f"{job}.{step}.{index} run {run.order.run} {run.state} "
+            f"at {worker}@{worker_started_ms} token {run.token}"
+        )
+    return texts
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -48,6 +48,9 @@
         When the start was requested from the worker.
     token : int
         Fencing token of the latest order to start it, 0 before.
+    lifetime : (str, int)
+        Identifier and start of the worker's lifetime that has answered the order to start it, or
+        that was sent the order if none has.
     start_unconfirmed : bool
         Whether the order to start timed out without an answer of the worker.
     stop_acknowledged_at : float or None
@@ -72,6 +75,7 @@
     started_at: float | None = None
     ordered_at: float = 0.0
     token: int = 0
+    lifetime: tuple = ("", 0)
     start_unconfirmed: bool = False
     stop_acknowledged_at: float | None = None
     reason: str = ""
@@ -102,7 +106,16 @@
         queued_until = self.started_at if self.has_started else now
         queue_ms = (queued_until - self.arrived_at) * 1000
         return TaskEvent(
-            order.job, order.step, order.index, order.run, kind, reason, run_ms, queue_ms
+            order.job,
+            order.step,
+            order.index,
+            order.run,
+            kind,
+            reason,
+            run_ms,
+            queue_ms,
+            self.lifetime[1],
+            now,
         )
 
 
--- a/onyxfork/direct/settings.py
+++ b/onyxfork/direct/settings.py
@@ -7,7 +7,7 @@
 from onyxfork.addresses import Address
 from onyxfork.messages import PROTOCOL_VERSION, Hello, Timing
 
-__all__ = ["DirectSettings", "NODE_TIMING", "CONTROL_TIMING"]
+__all__ = ["DirectSettings", "make_incarnation", "NODE_TIMING", "CONTROL_TIMING"]
 
 NODE_TIMING = Timing(heartbeat_s=0.2, suspect_s=0.45, silent_s=0.69, connect_s=0.25)
 """A connection is closed after 0.7 s of silence, the time to read what has arrived included: a
@@ -19,6 +19,11 @@
 recovered, and a silent connection is replaced within that time."""
 
 
+def make_incarnation():
+    """Return a new identifier of a process since its start."""
+    return uuid4().hex[:12]
+
+
 @define
 class DirectSettings:
     """Settings of one process.
@@ -57,7 +62,7 @@
     clock_file: str = ""
     timing: Timing = NODE_TIMING
     control_timing: Timing = CONTROL_TIMING
-    incarnation: str = field(factory=lambda: uuid4().hex[:12])
+    incarnation: str = field(factory=make_incarnation)
 
     @property
     def address(self):
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -7,6 +7,7 @@
 import logging
 from contextlib import suppress
 
+from onyxfork.direct.run_log import run_log_fields
 from onyxfork.direct.runs import EVACUATED, STARTING
 from onyxfork.direct.worker_lifetimes import RETRY_DELAY_S, WorkerLifetimes, retry_delay_s
 from onyxfork.utils import logged_failures
@@ -199,9 +200,10 @@
             return
         unknown = self.arbiter.apply_running(reply.running, asked_at, now)
         for ref in unknown:
-            log.warning(
-                "stopping a run that this agent did not order", extra={"task": task_name(ref)}
-            )
+            fields = {"task": task_name(ref), "run": ref.run, "token": self.token.value}
+            if self.arbiter.worker is not None:
+                fields["worker"], fields["worker_started_ms"] = self.arbiter.worker.lifetime
+            log.warning("stopping a run that this agent did not order", extra=fields)
             self.spawn(self.send_stop(ref))
         if not self.takeover_complete.is_set() and not unknown:
             self.takeover_complete.set()
@@ -224,8 +226,8 @@
         elif worker is not None:
             answer = await self.send_start_repeatedly(worker, run)
         if answer not in ("started", "returned", "stale", EVACUATED):
-            fields = {"task": task_name(run.order.ref), "run": run.order.run, "answer": answer}
-            log.info("start order failed", extra=fields)
+            fields = {"task": task_name(run.order.ref), "answer": answer}
+            log.info("start order failed", extra={**run_log_fields(run), **fields})
         self.arbiter.on_start_reply(run, answer, self.clock.now())
         self.apply_decisions()
 
@@ -256,11 +258,14 @@
         for _ in range(2):
             sent_at = self.clock.now()
             token = run.token = self.token.value
+            run.lifetime = worker.lifetime
             until_ms = int(self.worker_clock.estimate_ms(run.ordered_at) + self.lease.length_ms)
             self.lease.renewed_at = max(self.lease.renewed_at, sent_at)
             timeout_s = self.answer_times.timeout_s
             reply = await self.client.start(worker, run.order, until_ms, token, timeout_s)
             now = self.clock.now()
+            if reply.started_ms:
+                run.lifetime = worker.id, reply.started_ms
             if self.is_credited(worker, reply):
                 self.worker_clock.update(reply.clock_ms, sent_at, now)
             if reply.is_lost:
--- a/onyxfork/direct/worker_lifetimes.py
+++ b/onyxfork/direct/worker_lifetimes.py
@@ -217,7 +217,7 @@
         self.missed_renewals = 0
         self.worker_clock = WorkerClock()
         self.worker_clock.update(reply.clock_ms, asked_at, now)
-        log_report(worker, runs_kept=len(kept))
+        log_report(worker, runs_kept=len(kept), token=token)
         if worker.state != ABSENT:
             self.control.update_labels(labels=worker.labels)
         self.lifetime_begun.set()
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -58,6 +58,9 @@
         Monotonic seconds of the latest of these runs.
     reported_at : float
         Monotonic seconds at which the latest report was received.
+    clock_offset_s : float or None
+        This process's clock less the agent's, by the report on the current connection that took
+        the shortest time; None before the first.
     """
 
     node: str
@@ -77,6 +80,12 @@
     cold_run_time_ratio: float | None = None
     cold_ratio_at: float = 0.0
     reported_at: float = 0.0
+    clock_offset_s: float | None = None
+
+    @property
+    def worker_id(self):
+        """Identifier of the worker in the latest report, empty if there is none."""
+        return self.status.worker if self.status is not None else ""
 
     @property
     def is_ready(self):
@@ -150,10 +159,31 @@
         self.cold_run_time_ratio = former + COLD_RATIO_WEIGHT * (ratio - former)
         self.cold_ratio_at = now
 
+    def record_clock(self, agent_clock, now):
+        """Update the estimate of the agent's clock from a value that has just arrived."""
+        offset_s = now - agent_clock
+        if self.clock_offset_s is None or offset_s < self.clock_offset_s:
+            self.clock_offset_s = offset_s
+
+    def news_age_ms(self, event, now):
+        """Return how long ago the agent learnt of a `TaskEvent` that has just arrived.
+
+        The time that the fastest report on the connection took is not included.
+
+        Returns
+        -------
+        float or None
+            Milliseconds; None if the agent does not state it.
+        """
+        if not event.agent_clock or self.clock_offset_s is None:
+            return None
+        return max(0.0, (now - event.agent_clock - self.clock_offset_s) * 1000)
+
     def connect(self):
         """Reset the view for a new connection, on which reports count orders from 0."""
         self.connected = True
         self.status = None
+        self.clock_offset_s = None
         self.orders_sent = 0
         self.unacknowledged.clear()
         self.pending_cpu = self.pending_memory = self.pending_gpu = 0
--- a/onyxfork/logs.py
+++ b/onyxfork/logs.py
@@ -77,18 +77,25 @@
         return True
 
 
-def make_formatter(role, node, zone):
-    """Return a JSON formatter that adds the process's role, node and zone to each line."""
+def make_formatter(role, node, zone, incarnation=""):
+    """Return a JSON formatter that adds the process's role, node and zone to each line.
+
+    A non-empty `incarnation` is added too, so that a line that is read alone tells which process of
+    the node has written it.
+    """
+    static_fields = {"role": role, "node": node, "zone": zone}
+    if incarnation:
+        static_fields["process"] = incarnation
     return JsonFormatter(
         "%(asctime)s %(levelname)s %(name)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level", "name": "module"},
-        static_fields={"role": role, "node": node, "zone": zone},
+        static_fields=static_fields,
     )
 
 
-def install_handler(handler, role, node, zone, level):
+def install_handler(handler, formatter, level):
     """Make `handler` the only log handler of this process."""
-    handler.setFormatter(make_formatter(role, node, zone))
+    handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
@@ -108,10 +115,11 @@
     stream : file object, optional
         Standard error when omitted.
     """
-    install_handler(logging.StreamHandler(stream or sys.stderr), role, node, zone, level)
+    formatter = make_formatter(role, node, zone)
+    install_handler(logging.StreamHandler(stream or sys.stderr), formatter, level)
 
 
-def start_rate_limited_logging(role, node, zone="", level="info", descriptor=1):
+def start_rate_limited_logging(role, node, zone="", level="info", descriptor=1, incarnation=""):
     """Write the logs of this process to a file descriptor, limited in rate and without blocking.
 
     Parameters
@@ -120,5 +128,8 @@
         As for :func:`start_logging`.
     descriptor : int
         Standard output when omitted.
+    incarnation : str
+        Identifies the process since its start; added to every line as ``process`` if not empty.
     """
-    install_handler(RateLimitedHandler(descriptor), role, node, zone, level)
+    formatter = make_formatter(role, node, zone, incarnation)
+    install_handler(RateLimitedHandler(descriptor), formatter, level)
--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -183,7 +183,7 @@
 async def run(role):
     """Run the program of a role until SIGTERM."""
     settings = load_platform_settings()
-    start_rate_limited_logging(role, settings.node, settings.zone)
+    start_rate_limited_logging(role, settings.node, settings.zone, incarnation=settings.incarnation)
     telemetry = Telemetry(role, settings.node, settings.zone)
     stop_requested, hangup = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/onyxfork/platform/settings.py
+++ b/onyxfork/platform/settings.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from onyxfork.addresses import Address
-from onyxfork.direct.settings import CONTROL_TIMING, DirectSettings
+from onyxfork.direct.settings import CONTROL_TIMING, DirectSettings, make_incarnation
 from onyxfork.errors import SettingsError
 from onyxfork.platform.fields import (
     FieldError,
@@ -78,6 +78,8 @@
         File with milliseconds to add to the time of day; empty for none.
     zones : dict of str to str
         Region of each availability zone that operators may evacuate.
+    incarnation : str
+        Identifies the process since its start, to its peers and in its logs.
     """
 
     node: str
@@ -98,6 +100,7 @@
     listen_host: str = ""
     clock_file: str = ""
     zones: dict = field(factory=dict)
+    incarnation: str = field(factory=make_incarnation, eq=False)
 
     def internal_address(self, port_offset, host=None):
         """Return the address for onyxfork's own protocol at a port offset.
@@ -131,6 +134,7 @@
             control=self.control_instances(),
             lease_ms=self.lease_ms,
             drain_s=self.grace_s - DRAIN_RESERVE_S,
+            incarnation=self.incarnation,
         )
 
     def control_settings(self):
