onyxfork runs: who ran a task where and when, from the logs alone

The command reads logs of entries and agents and prints, for one job or task, the entries that had it and how each let go of it, every run with its entry's process, worker's lifetime, fencing token, times and the age of the news of its end, the events around it, each pair of runs that may have overlapped, and what is not in the logs.

--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -89,7 +89,8 @@
                 continue
             task.job.record_event(task, event, now)
             if event.worker_started_ms:
-                task.lifetime = view.worker_id, event.worker_started_ms
+                worker_id = view.worker_id or task.lifetime[0]
+                task.lifetime = worker_id, event.worker_started_ms
             if event.kind != "started":
                 task.record_end(event.kind, now, view.news_age_ms(event, now))
             EVENT_HANDLERS[event.kind](self, task, view, event, now)
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -323,11 +323,10 @@
         """Send a newly connected agent the list of runs that it should hold."""
         refs = self.dispatcher.on_connected(node.node, node.zone)
         self.connections[node.node] = connection
-        self.dispatcher.workers[node.node].record_clock(connection.peer.clock, self.clock.now())
+        self.dispatcher.workers[node.node].record_clock(connection.peer_clock, self.clock.now())
         connection.send(Resume(refs, str(self.settings.address)))
         self.control.evacuations.announce(connection)
-        fields = {"agent": node.node, "agent_process": connection.peer.incarnation}
-        log.info("agent connected", extra={**fields, "runs": len(refs)})
+        log.info("agent connected", extra={"agent": node.node, "runs": len(refs)})
 
     def apply_evacuations(self):
         """Apply a change of the evacuated zones, and pass it on to the connected agents."""
--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -338,6 +338,25 @@
         print(bound_text(job_log, timeline))
 
 
+def runs(task_or_job: str, *logs: Path):
+    """Print who ran the tasks of a job where and when, and which of the runs may have overlapped.
+
+    :param task_or_job: JOB for all of its tasks, or JOB.STEP.INDEX or JOB.OCCURRENCE.STEP.INDEX
+    :param logs: logs of entries and agents; text before the first brace of a line is allowed
+    """
+    from onyxfork.workload.task_runs import read_trace, runs_text
+
+    if not logs:
+        raise SettingsError(["LOGS: expected at least one file"])
+    trace = read_trace(task_or_job, logs)
+    if not trace.events:
+        files = f"{len(logs)} files with {trace.line_count} lines"
+        print(f"onyxfork: no line of {files} names {task_or_job}", file=sys.stderr)
+        return EXIT_REFUSED
+    print(runs_text(trace))
+    return 0
+
+
 def zone_evacuate(name: str, *, control: str = DEFAULT_OPERATORS):
     """Evacuate an availability zone: no task starts there until it is restored.
 
@@ -401,6 +420,7 @@
     "bench-capacity": bench_capacity,
     "soak": soak,
     "losses": losses,
+    "runs": runs,
     "zone": {"evacuate": zone_evacuate, "restore": zone_restore, "list": zone_list},
 }
 
