--- a/onyxfork/workload/task_run_pairs.py
+++ b/onyxfork/workload/task_run_pairs.py
@@ -14,6 +14,9 @@
 CLOCK_DIFFERENCE_S = 0.05
 """Overlaps below it are within what clocks of different machines differ by."""
 
+AGENT_UNREACHABLE = "agent unreachable"
+"""Reason of a run that its entry has concluded to have ended."""
+
 REPORT_LINE_DELAY_S = 0.05
 """The line about a new lifetime follows those about the runs that were lost with the former one."""
 
@@ -28,13 +31,14 @@
         by_task.setdefault(run.task, []).append(run)
     texts = []
     for runs in by_task.values():
+        runs = [run for run in runs if not has_certainly_not_started(run)]
         for (position, first), (other, second) in combinations(enumerate(runs), 2):
             finding = find_overlap(trace, first, second, is_next=other == position + 1)
             if finding:
                 texts.append(f"{describe_run(first)} and {describe_run(second)}: {finding}")
-        if runs[-1].runs_again and not has_certainly_not_started(runs[-1]):
-            if runs[-1].outcome not in RUNS_IN_WORKER_LIST:
-                finding = describe_inferred_end(trace, runs[-1], runs[-1].learnt_s)
+        if runs and runs[-1].runs_again:
+            finding = find_unnamed_overlap(trace, runs[-1])
+            if finding:
                 texts.append(f"{describe_run(runs[-1])} and a run that no line names: {finding}")
     return texts
 
@@ -57,28 +61,41 @@
         Whether there is none between them. If the end of the first one was only concluded, this is
         told for the next run alone.
     """
-    if has_certainly_not_started(first) or has_certainly_not_started(second):
-        return ""
     begins_s = second.ordered_s if second.ordered_s is not None else second.started_s
     if begins_s is None:
         begins_s = second.begins_s
-    late = [at_s for at_s, _ in first.seen_running if at_s >= begins_s]
-    if late:
-        return (
-            f"overlapped: the worker still listed the first one at {late[-1]:.3f} s, "
-            f"{since(begins_s, late[-1])} after the order of the second one; its agent had counted "
-            f"it as {first.outcome or 'ended'} ({first.reason or 'no reason logged'})"
-        )
+    listed = describe_late_listing(first, begins_s)
+    if listed:
+        return listed
     end_s = first.known_end_s
     if end_s is None:
         return "may have overlapped: the end of the first one is not in the logs"
-    if first.outcome not in RUNS_IN_WORKER_LIST and is_successor(first, second):
-        return describe_inferred_end(trace, first, begins_s) if is_next else ""
-    if end_s > begins_s:
+    follows = is_successor(first, second)
+    if end_s > begins_s and not follows:
         return describe_late_end(first, second, begins_s, end_s)
-    if first.outcome in RUNS_IN_WORKER_LIST:
+    if first.outcome in RUNS_IN_WORKER_LIST or not is_next:
         return ""
-    return describe_inferred_end(trace, first, begins_s) if is_next else ""
+    return describe_concluded_end(trace, first, begins_s)
+
+
+def find_unnamed_overlap(trace, first):
+    """Return what logs say about a run and its replacement, which no line names."""
+    listed = describe_late_listing(first, first.learnt_s)
+    if listed or first.outcome in RUNS_IN_WORKER_LIST:
+        return listed
+    return describe_concluded_end(trace, first, first.learnt_s)
+
+
+def describe_late_listing(first, begins_s):
+    """Return the text for a first run that its worker listed after `begins_s`, or an empty one."""
+    late = [at_s for at_s, _ in first.seen_running if at_s >= begins_s]
+    if not late:
+        return ""
+    return (
+        f"overlapped: the worker still listed the first one at {late[-1]:.3f} s, "
+        f"{since(begins_s, late[-1])} after the order of the second one; its agent had counted "
+        f"it as {first.outcome or 'ended'} ({first.reason or 'no reason logged'})"
+    )
 
 
 def is_successor(first, second):
@@ -116,7 +133,7 @@
     return text
 
 
-def describe_inferred_end(trace, first, begins_s):
+def describe_concluded_end(trace, first, begins_s):
     """Return the text for a first run whose end its worker has not listed."""
     end_s = min(first.known_end_s, begins_s)
     text = (
@@ -124,18 +141,34 @@
         f"{': ' + first.reason if first.reason else ''}) was concluded at {end_s:.3f} s and not "
         f"listed by its worker; the second one was ordered {since(end_s, begins_s)} later"
     )
-    if first.known_end_s > end_s:
-        text += f"; its agent concluded it at {first.known_end_s:.3f} s only"
+    if first.reason == AGENT_UNREACHABLE:
+        return f"{text}; {describe_silence(trace, first, end_s)}"
+    return f"{text}; {describe_lifetime(trace, first)}"
+
+
+def describe_silence(trace, first, end_s):
+    """Return how long the entry of a run had no connection to its agent, as text."""
+    lost = trace.latest_before("agent disconnected", end_s, node=first.entry, agent=first.agent)
+    if lost is None:
+        return "when its entry lost the connection to the agent is not logged"
+    text = f"its entry had lost the connection to the agent {since(lost.at_s, end_s)} before"
+    if first.ended_s is not None and first.ended_s > end_s:
+        text += f", the agent concluded the end at {first.ended_s:.3f} s"
+    return text
+
+
+def describe_lifetime(trace, first):
+    """Return whether the lifetime that had a run was the current one at its end, as text."""
     at_s = first.known_end_s + REPORT_LINE_DELAY_S
-    lifetime = trace.latest_before("worker reported", at_s, node=first.agent)
-    if lifetime is None:
-        return f"{text}; no lifetime of that worker is in the logs"
-    began = lifetime.fields.get("started_ms")
+    latest = trace.latest_before("worker reported", at_s, node=first.agent)
+    if latest is None:
+        return "no lifetime of that worker is in the logs"
+    began = latest.fields.get("started_ms")
     if not first.worker_started_ms or not began:
-        return f"{text}; which lifetime had it is not logged"
-    if lifetime.fields.get("worker") == first.worker and began == first.worker_started_ms:
-        return f"{text}; the lifetime that had it was the agent's current one"
-    return f"{text}; the lifetime that had it had been replaced by one that began at {began}"
+        return "which lifetime had it is not logged"
+    if latest.fields.get("worker") == first.worker and began == first.worker_started_ms:
+        return "the lifetime that had it was the agent's current one"
+    return f"the lifetime that had it had been replaced by one that began at {began}"
 
 
 # Gaps
@@ -193,7 +226,7 @@
             missing.append("its fencing token")
         if run.known_end_s is None:
             missing.append("its end")
-    is_news = run.outcome != "returned" and run.reason != "agent unreachable"
+    is_news = run.outcome != "returned" and run.reason != AGENT_UNREACHABLE
     if run.runs_again and is_news and run.news_age_ms is None:
         missing.append("how old the news of its end was")
     if missing:
@@ -207,11 +240,13 @@
         key = run.task, run.entry, run.process
         numbers.setdefault(key, {})[run.run] = run
     for (task, entry, _), runs in sorted(numbers.items()):
+        if not entry:
+            continue
         is_jump = any(run.reason == "old" for run in runs.values())
         absent = [str(number) for number in range(1, max(runs)) if number not in runs]
         if absent and not is_jump:
             texts.append(
-                f"task {task} of {entry or '?'}: no line about run {', '.join(absent)}, recalled "
+                f"task {task} of {entry}: no line about run {', '.join(absent)}, recalled "
                 "before its start or not in these logs"
             )
     return texts
