--- a/onyxfork/workload/task_run_lines.py
+++ b/onyxfork/workload/task_run_lines.py
@@ -220,7 +220,9 @@
 def on_run_ended(trace, line):
     """Record the end of a run, which its agent knows before its entry does."""
     run, fields = find_line_run(trace, line), line.fields
-    run.add(ended_s=line.at_s, outcome=fields.get("outcome"), reason=fields.get("reason"))
+    outcome, reason = fields.get("outcome"), fields.get("reason")
+    run.add(ended_s=line.at_s, outcome=outcome, reason=reason)
+    run.add(agent_outcome=outcome, agent_reason=reason)
     if fields.get("run_ms"):
         run.add(started_s=line.at_s - fields["run_ms"] / 1000)
 
@@ -233,9 +235,9 @@
 
 def on_order_refused(trace, line):
     """Record a run that its agent has returned, or does not know."""
-    find_line_run(trace, line).add(
-        ended_s=line.at_s, outcome="returned", reason=line.fields.get("reason")
-    )
+    run, reason = find_line_run(trace, line), line.fields.get("reason")
+    run.add(ended_s=line.at_s, outcome="returned", reason=reason)
+    run.add(agent_outcome="returned", agent_reason=reason)
 
 
 def on_runs_of_entry_stopped(trace, line):
--- a/onyxfork/workload/task_run_pairs.py
+++ b/onyxfork/workload/task_run_pairs.py
@@ -7,9 +7,8 @@
 RUNS_IN_WORKER_LIST = ("done", "failed", "stopped")
 """Outcomes of runs whose end the worker has listed itself."""
 
-UNSTARTED_REASONS_UNCERTAIN = ("never arrived", "stale", "unanswered")
-"""Reasons of returned runs that another process of the agent, or an order that is still on its way,
-may have started."""
+NEVER_ARRIVED = "never arrived"
+"""Reason of a returned run that its agent does not know; a former process may have started it."""
 
 CLOCK_DIFFERENCE_S = 0.05
 """Overlaps below it are within what clocks of different machines differ by."""
@@ -111,11 +110,10 @@
 
 def has_certainly_not_started(run):
     """Return whether a run was returned before a worker can have started it."""
-    return (
-        run.outcome == "returned"
-        and run.started_s is None
-        and run.reason not in UNSTARTED_REASONS_UNCERTAIN
-    )
+    outcome, reason = run.outcome, run.reason
+    if run.agent_outcome:
+        outcome, reason = run.agent_outcome, run.agent_reason
+    return outcome == "returned" and run.started_s is None and reason != NEVER_ARRIVED
 
 
 def describe_late_end(first, second, begins_s, end_s):
@@ -135,7 +133,8 @@
 
 def describe_concluded_end(trace, first, begins_s):
     """Return the text for a first run whose end its worker has not listed."""
-    end_s = min(first.known_end_s, begins_s)
+    known = (first.known_end_s, first.learnt_s, begins_s)
+    end_s = min(time for time in known if time is not None)
     text = (
         f"may have overlapped: the end of the first one ({first.outcome or 'outcome not logged'}"
         f"{': ' + first.reason if first.reason else ''}) was concluded at {end_s:.3f} s and not "
@@ -204,7 +203,7 @@
         why = "its log ends or lacks the line"
         if restart is not None:
             why = f"its next process started at {restart.at_s:.3f} s"
-        yield f"{name}: no line says how it ended the job; {why}"
+        yield f"{name}: no line says how it ended the job and names its ordinary runs; {why}"
     elif not hold.names_runs:
         counts = f"{hold.run_count} runs of {hold.task_count} tasks"
         yield f"{name}: the end of the job is logged without its runs ({counts})"
--- a/onyxfork/workload/task_run_records.py
+++ b/onyxfork/workload/task_run_records.py
@@ -96,6 +96,8 @@
         When its entry learnt of the end, and how old that news was.
     outcome, reason : str
         How it ended, and why it did if it was not by itself.
+    agent_outcome, agent_reason : str
+        The same as its agent has logged it.
     stop_s : float or None
         When its agent began to stop it.
     runs_again : bool
@@ -121,6 +123,8 @@
     news_age_ms: float | None = None
     outcome: str = ""
     reason: str = ""
+    agent_outcome: str = ""
+    agent_reason: str = ""
     stop_s: float | None = None
     runs_again: bool = False
     seen_running: list = field(factory=list)
