--- a/onyxfork/workload/task_run_pairs.py
+++ b/onyxfork/workload/task_run_pairs.py
@@ -63,7 +63,7 @@
     begins_s = second.ordered_s if second.ordered_s is not None else second.started_s
     if begins_s is None:
         begins_s = second.begins_s
-    listed = describe_late_listing(first, begins_s)
+    listed = describe_late_listing(first, begins_s, second.started_s)
     if listed:
         return listed
     end_s = first.known_end_s
@@ -79,22 +79,34 @@
 
 def find_unnamed_overlap(trace, first):
     """Return what logs say about a run and its replacement, which no line names."""
-    listed = describe_late_listing(first, first.learnt_s)
+    listed = describe_late_listing(first, first.learnt_s, None)
     if listed or first.outcome in RUNS_IN_WORKER_LIST:
         return listed
     return describe_concluded_end(trace, first, first.learnt_s)
 
 
-def describe_late_listing(first, begins_s):
-    """Return the text for a first run that its worker listed after `begins_s`, or an empty one."""
+def describe_late_listing(first, begins_s, started_s):
+    """Return the text for a first run that its worker listed late, or an empty one.
+
+    Parameters
+    ----------
+    first : TaskRun
+    begins_s : float
+        When the second run was ordered, or when its entry learnt that the first one had ended.
+    started_s : float or None
+        When the second run started.
+    """
     late = [at_s for at_s, _ in first.seen_running if at_s >= begins_s]
     if not late:
         return ""
-    return (
-        f"overlapped: the worker still listed the first one at {late[-1]:.3f} s, "
-        f"{since(begins_s, late[-1])} after the order of the second one; its agent had counted "
-        f"it as {first.outcome or 'ended'} ({first.reason or 'no reason logged'})"
+    both_ran = started_s is not None and started_s <= late[-1]
+    text = (
+        f"{'overlapped' if both_ran else 'may have overlapped'}: the worker still listed the first "
+        f"one at {late[-1]:.3f} s, {since(begins_s, late[-1])} after the second one could be "
+        f"ordered; its agent had counted it as {first.outcome or 'ended'} "
+        f"({first.reason or 'no reason logged'})"
     )
+    return f"{text}; the second one had started at {started_s:.3f} s" if both_ran else text
 
 
 def is_successor(first, second):
--- a/tests/workload/test_task_runs.py
+++ b/tests/workload/test_task_runs.py
@@ -101,7 +101,8 @@
     (text,) = describe_pairs(
         read(tmp_path, [*REPLACED, make_line(1260, "s1", message, "", **listed)])
     )
-    assert "overlapped: the worker still listed the first one at 1.260 s, 60 ms after" in text
+    assert ": overlapped: the worker still listed the first one at 1.260 s, 60 ms after" in text
+    assert "the second one had started at 1.210 s" in text
 
 
 def test_two_entries_with_the_same_job_and_how_each_let_go_of_it(tmp_path):
