--- a/onyxfork/workload/task_run_pairs.py
+++ b/onyxfork/workload/task_run_pairs.py
@@ -152,6 +152,9 @@
         f"{': ' + first.reason if first.reason else ''}) was concluded at {end_s:.3f} s and not "
         f"listed by its worker; the second one was ordered {since(end_s, begins_s)} later"
     )
+    wrong = [at_s for at_s, _ in first.seen_running if at_s >= (first.ended_s or end_s)]
+    if wrong:
+        text += f"; that was wrong, its worker listed it at {wrong[-1]:.3f} s"
     if first.reason == AGENT_UNREACHABLE:
         return f"{text}; {describe_silence(trace, first, end_s)}"
     return f"{text}; {describe_lifetime(trace, first)}"
--- a/tests/workload/test_task_runs.py
+++ b/tests/workload/test_task_runs.py
@@ -105,6 +105,14 @@
     assert "the second one had started at 1.210 s" in text
 
 
+def test_run_that_its_worker_lists_before_its_replacement_may_have_overlapped(tmp_path):
+    listed = {"task": f"{JOB}.0.0", "run": 1, "worker": "w1"}
+    line = make_line(1182, "s1", "stopping a run that this agent did not order", "", **listed)
+    (text,) = describe_pairs(read(tmp_path, [*REPLACED, line]))
+    assert "may have overlapped" in text
+    assert "that was wrong, its worker listed it at 1.182 s" in text
+
+
 def test_two_entries_with_the_same_job_and_how_each_let_go_of_it(tmp_path):
     lines = [
         accepted(1000, "e1"),
