--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -9,6 +9,7 @@
 
 from onyxfork.direct.messages import TaskEvent
 from onyxfork.direct.precedence import start_key
+from onyxfork.direct.run_log import describe_stopped_runs, log_refused_order
 from onyxfork.direct.runs import (
     QUEUED,
     READY,
@@ -90,6 +91,7 @@
             return session.ended_events[ref]
         if ref in self.unclaimed_ends:
             return TaskEvent(ref.job, ref.step, ref.index, ref.run, self.unclaimed_ends[ref])
+        log_refused_order(session, ref, "never arrived")
         return returned_event(ref, "never arrived")
 
     def drop_session(self, session, reason):
@@ -106,7 +108,14 @@
         ]
         if runs:
             jobs = sorted({run.order.job for run in runs})[:MAX_JOBS_LOGGED]
-            fields = {"entry": session.entry, "runs": len(runs), "jobs": jobs, "reason": reason}
+            fields = {
+                "entry": session.entry,
+                "entry_process": session.incarnation,
+                "runs": len(runs),
+                "jobs": jobs,
+                "stopped": describe_stopped_runs(runs),
+                "reason": reason,
+            }
             log.warning("runs of an entry stopped", extra=fields)
         for run in runs:
             self.stop(run, reason, now)
@@ -178,6 +187,7 @@
             if refusal == "":
                 continue
             if refusal is not None:
+                log_refused_order(session, order.ref, refusal, self.runs.get(order.ref.key))
                 session.events.append(returned_event(order.ref, refusal))
                 continue
             run = Run(order, session, now, now + order.slack_ms / 1000)
