An agent at an address that was another one's is not taken for it

What callers would see: runs that are stopped and started again, and an agent whose orders are ignored, after an address has passed from one agent to another.

Cause: an entry took whoever answered at an agent's address for that agent. The agent that has the address now took the connection for a newer one of the entry, and stopped what its first message did not name; the entry's true connection was ignored from then on.

Change: the entry closes a connection to another node than it expects. The agent attaches a connection to the session with its first message (Resume), and never in place of one that it has accepted later, so that a first message that is read late cannot take the session back.

Evidence: test_agent_at_the_address_of_another_one_is_not_taken_for_it failed before (two connections, s1 and s2, to one agent).

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from contextlib import asynccontextmanager
+from itertools import count
 
 from attrs import evolve
 
@@ -98,6 +99,8 @@
         Set when another lifetime of the worker may have begun.
     port : int or None
         Port at which entries are accepted, None before that.
+    connection_numbers : iterator of int
+        Numbers of accepted connections, in the order of their handshakes.
     status_timer : asyncio.TimerHandle or None
         Timer of the next status report.
     wake_timer : asyncio.TimerHandle or None
@@ -123,6 +126,7 @@
         self.lifetime_begun = asyncio.Event()
         self.successor_known = asyncio.Event()
         self.port = None
+        self.connection_numbers = count(1)
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
         telemetry.gauge("runs_held", lambda: len(self.arbiter.runs))
         self.control.evacuation_listeners.append(self.apply_evacuations)
@@ -276,21 +280,37 @@
         if connection.peer.role != "entry":
             raise ProtocolError(f"an agent serves entries, not {connection.peer.role}")
         peer = connection.peer
-        session = self.arbiter.connect(peer.node, peer.incarnation, connection)
+        number = next(self.connection_numbers)
         log.info("entry connected", extra={"entry": peer.node, "incarnation": peer.incarnation})
         self.control.evacuations.announce(connection)
         try:
             reason = await connection.run(
-                lambda connection, message: self.on_message(session, connection, message)
+                lambda connection, message: self.on_entry_message(number, connection, message)
             )
             log.info("entry disconnected", extra={"entry": peer.node, "reason": reason})
         finally:
-            self.arbiter.disconnect(session, connection, self.clock.now())
-            if session.connection is None:
+            session = self.arbiter.sessions.get(peer.node)
+            if session is not None and session.connection is connection:
+                self.arbiter.disconnect(session, connection, self.clock.now())
                 self.lost_entries.on_disconnected(session.entry, self.clock.now())
                 delay_s = RESUME_TIMEOUT_S + RESUME_CHECK_MARGIN_S
                 asyncio.get_running_loop().call_later(delay_s, self.tick)
 
+    def on_entry_message(self, number, connection, message):
+        """Attach a connection to its entry's session with its first message, then process it.
+
+        An entry that finds another agent at an address than it expects sends none. A connection
+        never replaces one that was accepted later.
+        """
+        peer = connection.peer
+        session = self.arbiter.sessions.get(peer.node)
+        is_newer = session is None or number > session.connection_number
+        if isinstance(message, Resume) and is_newer:
+            session = self.arbiter.connect(peer.node, peer.incarnation, connection)
+            session.connection_number = number
+        if session is not None:
+            self.on_message(session, connection, message)
+
     def on_message(self, session, connection, message):
         """Process one message of an entry.
 
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -320,7 +320,15 @@
         )
 
     def on_agent_connected(self, node, connection):
-        """Send a newly connected agent the list of runs that it should hold."""
+        """Send a newly connected agent the list of runs that it should hold.
+
+        Raises
+        ------
+        ProtocolError
+            If another node has the address now.
+        """
+        if connection.peer.node != node.node:
+            raise ProtocolError(f"{node.address} is {connection.peer.node}, not {node.node}")
         refs = self.dispatcher.on_connected(
             node.node, node.zone, node.address, connection.peer.incarnation, self.clock.now()
         )
--- a/onyxfork/direct/links.py
+++ b/onyxfork/direct/links.py
@@ -93,8 +93,8 @@
                 self.timing,
                 self.counter,
             ) as connection:
-                opened = True
                 self.on_open(connection)
+                opened = True
                 reason = "closed by this process"
                 try:
                     reason = await connection.run(self.on_message)
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -160,6 +160,8 @@
         Identity of the entry's process; a restart changes it.
     connection : Connection or None
         The open connection, None while there is none.
+    connection_number : int
+        Number of the latest connection among those that this agent has accepted.
     disconnected_at : float
         When the latest connection was closed.
     orders_received : int
@@ -179,6 +181,7 @@
     entry: str
     incarnation: str
     connection: object = None
+    connection_number: int = 0
     disconnected_at: float = 0.0
     orders_received: int = 0
     ended_events: dict = field(factory=dict)
--- a/tests/direct/test_replaced_agents.py
+++ b/tests/direct/test_replaced_agents.py
@@ -1,7 +1,9 @@
 """Names and addresses of agents that stand for another machine than before."""
 
+import asyncio
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
@@ -13,8 +15,10 @@
     make_status,
     take_orders,
 )
+from test_path import StandInWorker, run_path, until  # noqa: E402
 
 from onyxfork.direct.dispatcher_news import LOST_AFTER_S  # noqa: E402
+from onyxfork.direct.messages import DirectoryNode, Resume  # noqa: E402
 
 
 # Guards against TWICE: an agent on another machine that has the name of a former one does not know
@@ -49,3 +53,31 @@
     (order,) = take_orders(dispatcher)["s1"]
     dispatcher.on_disconnected("s1", 0.1)
     assert dispatcher.on_connected("s1", "a", address, process, 0.1) == [order.ref]
+
+
+# Guards against the loss of a session: an agent at an address that was another one's took the
+# connection for a newer one of its entry, and stopped all runs that this connection did not name.
+async def test_agent_at_the_address_of_another_one_is_not_taken_for_it():
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, agent):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: worker.running)
+        connection = agent.arbiter.sessions["e1"].connection
+        node = DirectoryNode("s2", "agent", "a", f"127.0.0.1:{agent.port}")
+        entry.control.add_announced_node(node)
+        await asyncio.sleep(0.3)
+        assert list(entry.connections) == ["s1"]
+        assert worker.stopped == [] and connection is not None
+        job.cancel()
+
+
+# Guards against the loss of a session: the first message on an older connection, which was read
+# late, took the session from the newer one, whose orders were ignored from then on.
+async def test_connection_does_not_replace_one_that_was_accepted_later():
+    worker = StandInWorker()
+    async with run_path(worker) as (_, agent):
+        session = agent.arbiter.sessions["e1"]
+        current = session.connection
+        older = SimpleNamespace(peer=current.peer)
+        agent.on_entry_message(session.connection_number - 1, older, Resume([], ""))
+        assert agent.arbiter.sessions["e1"].connection is current
