--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from contextlib import asynccontextmanager
+from itertools import count
 
 from attrs import evolve
 
@@ -100,6 +101,8 @@
         Set when another lifetime of the worker may have begun.
     port : int or None
         Port at which entries are accepted, None before that.
+    connection_numbers : iterator of int
+        Numbers of accepted connections, in the order of their handshakes.
     status_timer : asyncio.TimerHandle or None
         Timer of the next status report.
     wake_timer : asyncio.TimerHandle or None
@@ -125,6 +128,7 @@
         self.lifetime_begun = asyncio.Event()
         self.successor_known = asyncio.Event()
         self.port = None
+        self.connection_numbers = count(1)
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
         telemetry.gauge("runs_held", lambda: len(self.arbiter.runs))
         self.control.evacuation_listeners.append(self.apply_evacuations)
@@ -275,22 +279,18 @@
         """
         if connection.peer.role != "entry":
             raise ProtocolError(f"an agent serves entries, not {connection.peer.role}")
-        peer, session = connection.peer, None
-
-        def on_message(connection, message):
-            nonlocal session
-            if session is None:
-                session = self.arbiter.connect(peer.node, peer.incarnation, connection)
-                fields = {"entry": peer.node, "incarnation": peer.incarnation}
-                log.info("entry connected", extra=fields)
-            self.on_message(session, connection, message)
-
+        peer = connection.peer
+        number = next(self.connection_numbers)
+        log.info("entry connected", extra={"entry": peer.node, "incarnation": peer.incarnation})
         self.control.evacuations.announce(connection)
         try:
-            reason = await connection.run(on_message)
+            reason = await connection.run(
+                lambda connection, message: self.on_entry_message(number, connection, message)
+            )
             log.info("entry disconnected", extra={"entry": peer.node, "reason": reason})
         finally:
-            if session is not None:
+            session = self.arbiter.sessions.get(peer.node)
+            if session is not None and session.connection is connection:
                 self.on_disconnected(session, connection)
 
     def on_disconnected(self, session, connection):
@@ -298,10 +298,24 @@
         now = self.clock.now()
         closed_at = now if connection.closed_at is None else connection.closed_at
         self.arbiter.disconnect(session, connection, closed_at)
-        if session.connection is None:
-            self.lost_entries.on_disconnected(session.entry, now)
-            delay_s = session.disconnected_at + RESUME_TIMEOUT_S + RESUME_CHECK_MARGIN_S - now
-            asyncio.get_running_loop().call_later(max(0.0, delay_s), self.tick)
+        self.lost_entries.on_disconnected(session.entry, now)
+        delay_s = session.disconnected_at + RESUME_TIMEOUT_S + RESUME_CHECK_MARGIN_S - now
+        asyncio.get_running_loop().call_later(max(0.0, delay_s), self.tick)
+
+    def on_entry_message(self, number, connection, message):
+        """Attach a connection to its entry's session with its first message, then process it.
+
+        An entry that finds another agent at an address than it expects sends none. A connection
+        never replaces one that was accepted later.
+        """
+        peer = connection.peer
+        session = self.arbiter.sessions.get(peer.node)
+        is_newer = session is None or number > session.connection_number
+        if isinstance(message, Resume) and is_newer:
+            session = self.arbiter.connect(peer.node, peer.incarnation, connection)
+            session.connection_number = number
+        if session is not None:
+            self.on_message(session, connection, message)
 
     def on_message(self, session, connection, message):
         """Process one message of an entry.
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -330,7 +330,9 @@
         peer = connection.peer
         if (peer.role, peer.node) != ("agent", node.node):
             raise ProtocolError(f"expected agent {node.node}, connected to {peer.role} {peer.node}")
-        refs = self.dispatcher.on_connected(node.node, node.zone)
+        refs = self.dispatcher.on_connected(
+            node.node, node.zone, node.address, peer.incarnation, self.clock.now()
+        )
         self.connections[node.node] = connection
         self.dispatcher.workers[node.node].record_clock(connection.peer_clock, self.clock.now())
         connection.send(Resume(refs, str(self.settings.address)))
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -61,6 +61,10 @@
     clock_offset_s : float or None
         This process's clock less the agent's, by the report on the current connection that took
         the shortest time; None before the first.
+    address, incarnation : str
+        Where the agent was last reached, and identity of its process.
+    is_former : bool
+        Whether this view only holds the runs on a machine that another one has replaced.
     """
 
     node: str
@@ -87,6 +91,10 @@
         """Identifier of the worker in the latest report, empty if there is none."""
         return self.status.worker if self.status is not None else ""
 
+    address: str = ""
+    incarnation: str = ""
+    is_former: bool = False
+
     @property
     def is_ready(self):
         """Whether the worker may get new tasks."""
