--- a/onyxfork/platform/settings.py
+++ b/onyxfork/platform/settings.py
@@ -79,7 +79,7 @@
     zones : dict of str to str
         Region of each availability zone that operators may evacuate.
     incarnation : str
-        Identifies the process since its start, to its peers and in its logs.
+        Identifies the process since its start, in its logs and, of an entry or agent, to its peers.
     """
 
     node: str
--- a/onyxfork/workload/task_runs.py
+++ b/onyxfork/workload/task_runs.py
@@ -46,6 +46,14 @@
 WHOLE_FIELD = re.compile(r'"(\w+)": ("(?:[^"\\]|\\.)*"|-?[0-9.]+(?=[,}])|null|true|false)')
 WHOLE_TASK_RUN = re.compile(r'"([0-9]+\.[0-9]+/[0-9]+ [^"]+)"')
 
+TEXT_FIELDS = (
+    *("message", "node", "process", "job", "task", "agent", "worker", "entry", "entry_process"),
+    *("outcome", "reason", "incarnation"),
+)
+INTEGER_FIELDS = ("run", "worker_started_ms", "token", "dropped_before", "task_runs_omitted")
+NUMBER_FIELDS = ("elapsed_ms", "run_ms", "ordered_ago_ms", "started_ago_ms", "news_age_ms")
+"""Fields that are left out if they have another type, as in a line that was damaged."""
+
 MARGIN_S = 1.0
 """How long before the first and after the last line about the job the table of events reaches."""
 
@@ -157,10 +165,11 @@
             if is_incomplete:
                 fields = recover_fields(text[start:])
                 trace.incomplete_count += 1
-            if not fields:
+            if not isinstance(fields, dict) or not fields:
                 continue
+            fields = drop_malformed(fields)
             node = fields.get("node", node)
-            trace.dropped[node] += fields.get("dropped_before") or 0
+            trace.dropped[node or "?"] += fields.get("dropped_before", 0)
             found.append((prefix, read_clock(fields), fields, is_incomplete))
     if node is not None:
         trace.nodes.add(node)
@@ -170,6 +179,17 @@
     return found
 
 
+def drop_malformed(fields):
+    """Return fields without those whose type is not the one that is logged."""
+    return {
+        name: value
+        for name, value in fields.items()
+        if (name not in TEXT_FIELDS or isinstance(value, str))
+        and (name not in NUMBER_FIELDS or type(value) in (int, float))
+        and (name not in INTEGER_FIELDS or type(value) is int)
+    }
+
+
 def recover_fields(text):
     """Return the whole fields of an incomplete JSON object."""
     fields = {}
--- a/tests/workload/test_task_runs.py
+++ b/tests/workload/test_task_runs.py
@@ -163,6 +163,14 @@
     assert "2 incomplete lines" in " ".join(describe_gaps(trace))
 
 
+@pytest.mark.parametrize("damage", ["null", '"', "[]", "{", "-1", '"x"'])
+def test_damaged_lines_are_no_error(tmp_path, damage):
+    for position in range(0, len(REPLACED[6]), 3):
+        again = REPLACED[6][:position] + damage + REPLACED[6][position + len(damage) :]
+        (tmp_path / "e1.log").write_text("\n".join([*REPLACED[3:6], again, REPLACED[7]]))
+        assert "Runs" in runs_text(read_trace(JOB, [tmp_path / "e1.log"]))
+
+
 def test_logs_of_an_older_release_tell_what_they_lack(tmp_path):
     lacking = "process", "worker_started_ms", "task_runs", "ordered_ago_ms", "news_age_ms"
     lacking = *lacking, "entry", "entry_process"
