Tests of odd reports: loopback addresses of their own in each process

test_true_worker_is_followed_after_odd_reports failed twice, in two runs of the file at the same time on one machine, at 07:05 to 07:07: one got "address already in use" at 127.251.0.1:7720, the other "connection refused" at 127.251.0.4. Both used the fixed network 251. Soaks derive theirs from the process id; the file now does so too, from its own range.

--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import os
 from contextlib import asynccontextmanager
 from random import Random
 
@@ -32,7 +33,8 @@
 from onyxfork.workload.soak.schedule import SoakSize
 
 TIMEOUT_S = 20.0
-NETWORK = 251
+NETWORK = 221 + os.getpid() % 30
+"""Second octet of the loopback addresses: above those of soaks, and other ones in each process."""
 HOST = "soak.example"
 DEEP = "[" * 100_000 + "]" * 100_000
 NESTED = "[" * 200 + "]" * 200
