--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -26,7 +26,7 @@
 
 def test_control_ends_in_time_while_its_disk_hangs(tmp_path):
     """Guards against a control instance that waits for a hanging sync beyond its grace period."""
-    host = "127.19.7.1"
+    host = f"127.19.{os.getpid() % 250 + 1}.1"
     fields = node_settings("c1", "a", host, (7720, 7725), [f"{host}:8166"], True)
     operators = Address(host, 8166)
     text = control_settings(fields, operators, tmp_path / "data", GRACE_S, 1)
