--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from contextlib import asynccontextmanager
+from itertools import count
 
 from attrs import evolve
 
@@ -10,6 +11,7 @@
 from onyxfork.direct.announcements import LostEntries
 from onyxfork.direct.answer_times import AnswerTimes
 from onyxfork.direct.arbiter import RESUME_TIMEOUT_S, Arbiter
+from onyxfork.direct.arbiter_entries import STOP_WITHOUT_CONTACT_S
 from onyxfork.direct.documents import compress_document
 from onyxfork.direct.lease import FencingToken, Lease, WorkerClock
 from onyxfork.direct.links import ControlLinks
@@ -31,6 +33,7 @@
 from onyxfork.direct.worker_driver import WorkerDriver
 from onyxfork.errors import OnyxforkError, ProtocolError
 from onyxfork.messages import open_connection, serve
+from onyxfork.messages.connection import UNREAD_GRACE_S
 from onyxfork.utils import logged_failures, owned_tasks
 
 __all__ = ["DirectAgent", "run_agent"]
@@ -98,6 +101,8 @@
         Set when another lifetime of the worker may have begun.
     port : int or None
         Port at which entries are accepted, None before that.
+    connection_numbers : iterator of int
+        Numbers of accepted connections, in the order of their handshakes.
     status_timer : asyncio.TimerHandle or None
         Timer of the next status report.
     wake_timer : asyncio.TimerHandle or None
@@ -123,6 +128,7 @@
         self.lifetime_begun = asyncio.Event()
         self.successor_known = asyncio.Event()
         self.port = None
+        self.connection_numbers = count(1)
         self.control = ControlLinks(settings, clock, self.hello, telemetry)
         telemetry.gauge("runs_held", lambda: len(self.arbiter.runs))
         self.control.evacuation_listeners.append(self.apply_evacuations)
@@ -141,9 +147,7 @@
     def apply_decisions(self):
         """Let the arbiter schedule runs, carry out its starts and stops, and report to entries."""
         arbiter = self.arbiter
-        for session in arbiter.sessions.values():
-            if session.connection is not None:
-                session.update_agent_clock(session.connection.latest_echo)
+        self.update_contacts()
         arbiter.schedule(self.clock.now())
         starts, arbiter.starts = arbiter.starts, []
         stops, arbiter.stops = arbiter.stops, []
@@ -159,6 +163,12 @@
         if arbiter.changed:
             self.schedule_status()
 
+    def update_contacts(self):
+        """Date the latest contact with each connected entry by the clock value that it echoed."""
+        for session in self.arbiter.sessions.values():
+            if session.connection is not None:
+                session.update_agent_clock(session.connection.latest_echo)
+
     def schedule_wake(self, at):
         """Schedule the next call of `apply_decisions` for a run that waits to start."""
         if self.wake_timer is None:
@@ -221,22 +231,12 @@
         session.connection.send(TaskEvents(events))
 
     def count_events(self, events):
-        """Count events of runs and log the runs that ended without success."""
+        """Count events of runs."""
         for event in events:
             self.telemetry.count("task_events", kind=event.kind)
             if event.kind == "done":
                 self.telemetry.observe("run_ms", event.run_ms)
                 self.telemetry.observe("queue_ms", event.queue_ms)
-            elif event.kind != "started":
-                fields = {
-                    "job": event.job,
-                    "task": f"{event.step}.{event.index}",
-                    "run": event.run,
-                    "outcome": event.kind,
-                    "reason": event.reason,
-                    "run_ms": round(event.run_ms),
-                }
-                log.info("run ended", extra=fields)
 
     def send_status(self):
         """Send every connected entry the state and free capacity of the worker."""
@@ -272,24 +272,50 @@
     # Entries
 
     async def accept(self, connection):
-        """Serve a connection that an entry has opened."""
+        """Serve a connection that an entry has opened.
+
+        It becomes that of the entry's session with its first message: an entry that has expected
+        another agent at this address sends none.
+        """
         if connection.peer.role != "entry":
             raise ProtocolError(f"an agent serves entries, not {connection.peer.role}")
         peer = connection.peer
-        session = self.arbiter.connect(peer.node, peer.incarnation, connection)
+        number = next(self.connection_numbers)
         log.info("entry connected", extra={"entry": peer.node, "incarnation": peer.incarnation})
         self.control.evacuations.announce(connection)
         try:
             reason = await connection.run(
-                lambda connection, message: self.on_message(session, connection, message)
+                lambda connection, message: self.on_entry_message(number, connection, message)
             )
             log.info("entry disconnected", extra={"entry": peer.node, "reason": reason})
         finally:
-            self.arbiter.disconnect(session, connection, self.clock.now())
-            if session.connection is None:
-                self.lost_entries.on_disconnected(session.entry, self.clock.now())
-                delay_s = RESUME_TIMEOUT_S + RESUME_CHECK_MARGIN_S
-                asyncio.get_running_loop().call_later(delay_s, self.tick)
+            session = self.arbiter.sessions.get(peer.node)
+            if session is not None and session.connection is connection:
+                self.on_disconnected(session, connection)
+
+    def on_disconnected(self, session, connection):
+        """Detach a closed connection from its session; check later whether the entry is back."""
+        now = self.clock.now()
+        closed_at = now if connection.closed_at is None else connection.closed_at
+        self.arbiter.disconnect(session, connection, closed_at)
+        self.lost_entries.on_disconnected(session.entry, now)
+        delay_s = session.disconnected_at + RESUME_TIMEOUT_S + RESUME_CHECK_MARGIN_S - now
+        asyncio.get_running_loop().call_later(max(0.0, delay_s), self.tick)
+
+    def on_entry_message(self, number, connection, message):
+        """Attach a connection to its entry's session with its first message, then process it.
+
+        An entry that finds another agent at an address than it expects sends none. A connection
+        never replaces one that was accepted later.
+        """
+        peer = connection.peer
+        session = self.arbiter.sessions.get(peer.node)
+        is_newer = session is None or number > session.connection_number
+        if isinstance(message, Resume) and is_newer:
+            session = self.arbiter.connect(peer.node, peer.incarnation, connection)
+            session.connection_number = number
+        if session is not None:
+            self.on_message(session, connection, message)
 
     def on_message(self, session, connection, message):
         """Process one message of an entry.
@@ -343,6 +369,21 @@
         self.detect_suspension()
         self.arbiter.tick(self.clock.now())
         self.apply_decisions()
+        self.schedule_contact_check()
+
+    def schedule_contact_check(self):
+        """Schedule the stop of runs whose entry will be out of contact before the next tick."""
+        due_at = self.arbiter.earliest_contact() + STOP_WITHOUT_CONTACT_S
+        delay_s = max(0.0, due_at - self.clock.now())
+        if delay_s < TICK_S:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s + UNREAD_GRACE_S, self.check_contacts)
+
+    def check_contacts(self):
+        """Stop the runs of entries that are out of contact; what has arrived was read before."""
+        self.update_contacts()
+        self.arbiter.stop_runs_without_contact(self.clock.now())
+        self.apply_decisions()
 
     def detect_suspension(self):
         """Detect a suspension of the machine, during which the monotonic clock stops."""
@@ -350,7 +391,7 @@
         if suspended_s - self.suspended_s > MIN_SUSPENSION_S:
             gap_s = round(suspended_s - self.suspended_s, 2)
             log.warning("machine was suspended", extra={"seconds": gap_s})
-            self.arbiter.record_suspension(self.clock.now())
+            self.arbiter.record_suspension(self.clock.now(), suspended_s - self.suspended_s)
         self.suspended_s = suspended_s
 
     async def announce_to_entry(self, address):
--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -26,6 +26,7 @@
     include_projections,
     median_run_time_ratio,
 )
+from onyxfork.direct.run_log import log_end, log_start, log_stop
 from onyxfork.direct.runs import (
     ABSENT,
     DRAINING,
@@ -90,6 +91,8 @@
     successor : Worker or None
         Another lifetime that a report or an answer has named, until the worker confirms or refutes
         it. No run starts meanwhile.
+    departing : (str, int) or None
+        The current lifetime if it is said to leave as planned; its end is no crash.
     responsive : bool
         Whether the worker answers renewals of its lease.
     evacuated : bool
@@ -113,6 +116,9 @@
     former_sessions : dict
         Sessions that were dropped because the entry was unreachable, by name of its node. They hold
         the events of ended runs for an entry that returns later.
+    unclaimed_ends : dict
+        Outcomes of ended runs, by `TaskRef`, that this process has not ordered; their entries ask
+        for them when they reconnect.
     runs : dict
         Runs by task key; a task has at most one run at a worker.
     queue : list of (float, int, Run)
@@ -148,6 +154,8 @@
         Median of the projected run times of running runs over their estimates.
     suspension_detected_at : float
         When the latest suspension of the machine was detected.
+    suspended_s : float
+        Duration of that suspension, in seconds.
     unhealthy_until : float
         No run is started before this time.
     changed : bool
@@ -155,7 +163,7 @@
     """
 
     def __init__(self):
-        self.worker = self.successor = None
+        self.worker = self.successor = self.departing = None
         self.ended_lifetimes = deque(maxlen=MAX_ENDED_LIFETIMES)
         self.responsive = True
         self.evacuated = self.restored = False
@@ -166,6 +174,7 @@
         self.crash_counts = []
         self.sessions = {}
         self.former_sessions = {}
+        self.unclaimed_ends = {}
         self.runs = {}
         self.queue = []
         self.sequence = count()
@@ -185,6 +194,7 @@
         self.current_run_time_ratio = None
         self.last_tick_at = None
         self.suspension_detected_at = float("-inf")
+        self.suspended_s = 0.0
         self.unhealthy_until = 0.0
         self.changed = False
 
@@ -277,7 +287,7 @@
         """Clear the worker and finish its runs, but those kept, because its lifetime has ended."""
         if self.worker is not None:
             self.ended_lifetimes.append(self.worker.lifetime)
-        self.worker = None
+        self.worker = self.departing = None
         self.cpu_limit = 0
         self.changed = True
         for run in [run for run in self.runs.values() if run not in kept]:
@@ -417,6 +427,9 @@
         if run.state == QUEUED:
             self.finish(run, "returned", now, reason)
         elif run.state != STOPPING:
+            # A session that is dropped has one line for all of its runs.
+            if not run.reason and self.sessions.get(run.session.entry) is run.session:
+                log_stop(run, reason)
             run.reason = run.reason or reason
             if run.state == RUNNING:
                 run.state = STOPPING
@@ -437,6 +450,7 @@
             return
         if answer == "started":
             run.state, run.started_at, run.progressed_at = RUNNING, now, now
+            log_start(run)
             self.queue_event(run, run.make_event("started", now))
             if run.reason:
                 self.stop(run, run.reason, now)
@@ -472,6 +486,7 @@
         else:
             self.count_used(run, -1)
         event = run.make_event(kind, now, reason)
+        log_end(run, event)
         ended = run.session.ended_events
         ended[run.order.ref] = event
         if len(ended) > MAX_ENDED_EVENTS:
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -410,9 +410,7 @@
     def place(self, task, view, now):
         """Reserve capacity of a worker for a new run of a task, and add the order to the output."""
         self.waiting_tasks.discard(task)
-        task.run += 1
-        task.state, task.worker, task.placed_at = PLACED, view.node, now
-        task.withdrawn = task.recalled = False
+        task.record_order(view.node, now)
         if task.job.first_placed_at is None:
             task.job.first_placed_at = now
         task.job.latest_worker = view.node
@@ -461,9 +459,11 @@
 
     def tick(self, now):
         """Handle timeouts: lost agents, jobs past their limits, runs to be recalled."""
-        for view in self.workers.values():
+        for view in list(self.workers.values()):
             if not view.connected and view.tasks and now >= view.runs_lost_at:
                 self.reschedule_lost_runs(view, now)
+            if view.is_former and not view.tasks:
+                del self.workers[view.node]
         for job in list(self.jobs.values()):
             if job.outcome is None:
                 self.check_time_limits(job, now)
@@ -481,6 +481,7 @@
         log.warning("agent lost", extra={"agent": view.node, "runs": len(view.tasks)})
         for task in list(view.tasks.values()):
             task.may_have_started = True
+            task.record_end("lost", now)
             self.reschedule(task, view, "lost", "agent unreachable")
 
     def check_time_limits(self, job, now):
--- a/onyxfork/direct/dispatcher_news.py
+++ b/onyxfork/direct/dispatcher_news.py
@@ -40,18 +40,52 @@
 class AgentEventMixin:
     """Update jobs, tasks and workers on events from agents."""
 
-    def on_connected(self, node, zone):
+    def on_connected(self, node, zone, address="", incarnation="", now=0.0):
         """Register an agent on a new connection and return the runs that it should hold.
 
-        Output that is still to be sent to the agent is dropped: the returned list replaces it.
+        Output that is still to be sent to the agent is dropped: the returned list replaces it. Runs
+        that have been withdrawn are withdrawn again, because the answer may have been lost.
+
+        Parameters
+        ----------
+        node, zone : str
+        address, incarnation : str
+            Where the agent was reached, and identity of its process.
+        now : float
+            Monotonic seconds.
         """
+        view = self.workers.get(node)
+        if view is not None and view.address != address and view.incarnation != incarnation:
+            self.detach_runs(view, now)
         view = self.workers.setdefault(node, WorkerView(node, zone))
+        view.address, view.incarnation = address, incarnation
         view.evacuated = view.zone in self.evacuated_zones
         view.connect()
         for pending_by_agent in (self.orders, self.withdrawals, self.recalls):
             pending_by_agent.pop(node, None)
+        withdrawn = [task.ref for task in view.tasks.values() if task.withdrawn]
+        if withdrawn:
+            self.withdrawals[node] = withdrawn
         return [task.ref for task in view.tasks.values() if not task.withdrawn]
 
+    def detach_runs(self, view, now):
+        """Keep the runs on an agent's former machine until they have certainly stopped.
+
+        An agent on another machine with the same name has another worker, so it cannot tell
+        whether they have ended.
+        """
+        if not view.tasks:
+            return
+        former = WorkerView(f"{view.node}#{next(self.heap_sequence)}", view.zone, is_former=True)
+        former.tasks, view.tasks = view.tasks, {}
+        former.runs_lost_at = now + LOST_AFTER_S if view.connected else view.runs_lost_at
+        for task in former.tasks.values():
+            task.worker = former.node
+        self.workers[former.node] = former
+        log.info(
+            "agent is on another machine", extra={"agent": view.node, "runs": len(former.tasks)}
+        )
+
     def on_disconnected(self, node, now):
         """Mark an agent as disconnected and set when its runs count as lost."""
         view = self.workers[node]
@@ -75,6 +109,7 @@
         spare_before = self.use.spare_of(view)
         view.update_status(status)
         view.reported_at = now
+        view.record_clock(status.clock, now)
         self.use.spare += self.use.spare_of(view) - spare_before
         if self.waiting_heap:
             self.place_waiting_tasks(now)
@@ -87,6 +122,11 @@
             if task is None or task.run != event.run:
                 continue
             task.job.record_event(task, event, now)
+            if event.worker_started_ms:
+                worker_id = view.worker_id or task.lifetime[0]
+                task.lifetime = worker_id, event.worker_started_ms
+            if event.kind != "started":
+                task.record_end(event.kind, now, view.news_age_ms(event, now))
             EVENT_HANDLERS[event.kind](self, task, view, event, now)
         if self.waiting_heap:
             self.place_waiting_tasks(now)
@@ -228,18 +268,27 @@
         fields = {
             "job": task.job.id,
             "task": f"{task.step}.{task.index}",
-            "run": task.run,
+            "run": task.end_run,
             "agent": view.node,
-            "worker": status.worker if status else "",
+            "worker": task.lifetime[0] or view.worker_id,
+            "worker_started_ms": task.lifetime[1] or None,
             "worker_state": status.state if status and view.connected else "unreachable",
             "failing": round(status.failure_share, 2) if status else None,
             "pace": round(status.run_time_ratio, 2) if status else None,
             "outcome": kind,
             "reason": reason,
+            "ordered_ago_ms": rounded(task.ordered_ago_ms),
+            "started_ago_ms": rounded(task.started_ago_ms),
+            "news_age_ms": rounded(task.end_news_age_ms),
         }
         log.info("task runs again", extra=fields)
 
 
+def rounded(milliseconds):
+    """Return milliseconds for a log line; None for None."""
+    return None if milliseconds is None else round(milliseconds, 1)
+
+
 EVENT_HANDLERS = {
     "started": AgentEventMixin.on_started,
     "done": AgentEventMixin.on_done,
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from onyxfork.direct.admission import Refusal
-from onyxfork.direct.answer_log import answer_log_fields
+from onyxfork.direct.answer_log import answer_log_fields, task_run_fields
 from onyxfork.direct.dispatcher import Dispatcher
 from onyxfork.direct.documents import decompress_document
 from onyxfork.direct.entry_load import EntryLoad, Readiness, job_slack_ms
@@ -320,10 +320,24 @@
         )
 
     def on_agent_connected(self, node, connection):
-        """Send a newly connected agent the list of runs that it should hold."""
-        refs = self.dispatcher.on_connected(node.node, node.zone)
+        """Send a newly connected agent the list of runs that it should hold.
+
+        Raises
+        ------
+        ProtocolError
+            When another node has the address now: it does not know the runs of this agent.
+        """
+        peer = connection.peer
+        if (peer.role, peer.node) != ("agent", node.node):
+            raise ProtocolError(f"expected agent {node.node}, connected to {peer.role} {peer.node}")
+        refs = self.dispatcher.on_connected(
+            node.node, node.zone, node.address, peer.incarnation, self.clock.now()
+        )
         self.connections[node.node] = connection
+        self.dispatcher.workers[node.node].record_clock(connection.peer_clock, self.clock.now())
         connection.send(Resume(refs, str(self.settings.address)))
+        connection.ping(self.clock.now())
+        self.flush()
         self.control.evacuations.announce(connection)
         log.info("agent connected", extra={"agent": node.node, "runs": len(refs)})
 
@@ -429,6 +443,7 @@
             "runs": sum(task.run for task in job.tasks),
             "configuration": self.control.document.version if self.control.document else 0,
             **answer_log_fields(job, self.dispatcher.workers),
+            **task_run_fields(job),
         }
         log.info("job ended", extra=fields)
         self.telemetry.count("jobs", queue=queue, state=outcome.state)
--- a/onyxfork/direct/worker_client.py
+++ b/onyxfork/direct/worker_client.py
@@ -27,12 +27,15 @@
         the identifier of the one that was called carries out the call.
     connection_lost : bool
         Whether a call is unanswered because its connection failed, not because of a timeout.
+    connection_refused : bool
+        Whether nothing accepts connections at the worker's address: its process has ended.
     """
 
     answer: str
     clock_ms: int | None = None
     started_ms: int = 0
     connection_lost: bool = field(default=False, kw_only=True)
+    connection_refused: bool = field(default=False, kw_only=True)
 
     @property
     def is_lost(self):
@@ -52,6 +55,8 @@
         Ended runs with their outcomes.
     last_end : int
         Sequence number of the latest run in `ended_runs`.
+    is_truncated : bool
+        Whether further runs may have ended that `ended_runs` does not list.
     timed_out : bool
         Whether there was no answer within the time allowed, or until the request was given up. Set
         by :class:`onyxfork.direct.list_polls.ListPolls`.
@@ -60,6 +65,7 @@
     running: dict = field(factory=dict)
     ended_runs: list = field(factory=list)
     last_end: int = 0
+    is_truncated: bool = field(default=False, kw_only=True)
     timed_out: bool = field(default=False, kw_only=True)
 
 
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -7,6 +7,8 @@
 import logging
 from contextlib import suppress
 
+from onyxfork.direct.arbiter_entries import MAX_RUN_WITHOUT_CONTACT_S
+from onyxfork.direct.run_log import run_log_fields
 from onyxfork.direct.runs import EVACUATED, STARTING
 from onyxfork.direct.worker_lifetimes import RETRY_DELAY_S, WorkerLifetimes, retry_delay_s
 from onyxfork.utils import logged_failures
@@ -118,12 +120,14 @@
         token = self.token.value
         until_ms = None
         # After a missed renewal only the lists are requested. A renewal may reach the worker even
-        # if its answer is lost, so with further renewals the lease might never expire.
-        if self.worker_clock.measured_at and not self.missed_renewals:
-            until_ms = int(self.worker_clock.estimate_ms(sent_at) + self.lease.length_ms)
+        # if its answer is lost, so with further renewals the lease might never expire. Runs of a
+        # former process, whose entries may have placed their tasks elsewhere, get no renewal.
+        may_renew = self.takeover_complete.is_set() and not self.missed_renewals
+        if may_renew and self.worker_clock.answered_at:
+            until_ms = self.lease_end_ms(sent_at)
             self.lease.renewed_at = sent_at
         wait_ms = 0
-        if self.takeover_complete.is_set() and not self.missed_renewals:
+        if may_renew:
             wait_ms = RENEWAL_WAIT_MS if self.arbiter.runs else IDLE_RENEWAL_WAIT_MS
         new_connection = self.missed_renewals > 0
         reply = await self.list_polls.request(
@@ -137,13 +141,23 @@
         if reply.answer != "ok":
             self.on_failed_renewal(reply, token, sent_at, now)
             return retry_delay_s(reply)
-        # The worker may delay its answer; it reads its clock just before it answers.
-        self.worker_clock.update(reply.clock_ms, max(sent_at, now - 0.002), now)
+        self.worker_clock.update(reply.clock_ms, now)
         self.on_renewal_answered(now)
         if self.token.on_accepted():
             self.apply_lists(reply, known_end, sent_at, now)
         return 0.0
 
+    def lease_end_ms(self, requested_at):
+        """Return until when a request extends the lease, in milliseconds of the worker's clock.
+
+        The lease covers runs only as long as their entries are known to have been in contact, so
+        that the worker ends them in time even if this process gets no processor time.
+        """
+        self.update_contacts()
+        covered_until = self.arbiter.earliest_contact() + MAX_RUN_WITHOUT_CONTACT_S
+        length_ms = min(self.lease.length_ms, (covered_until - requested_at) * 1000)
+        return int(self.worker_clock.earliest_ms(requested_at) + length_ms)
+
     @property
     def acknowledged_end(self):
         """Number up to which a request for the lists lets the worker drop ended runs.
@@ -180,7 +194,8 @@
         """Apply the worker's lists of ended and running runs, and stop runs of earlier agents.
 
         The running runs of an answer that a newer one has overtaken are ignored: they may name runs
-        that have ended since, which would be taken for runs of an earlier agent.
+        that have ended since, which would be taken for runs of an earlier agent. So are those
+        beside a truncated list of ended runs: a run that is in neither may be done.
 
         Parameters
         ----------
@@ -194,14 +209,15 @@
         if reply.ended_runs:
             self.last_end = max(self.last_end, reply.last_end)
             self.arbiter.apply_ended_runs(reply.ended_runs, now)
-        if is_overtaken:
+        if is_overtaken or reply.is_truncated:
             self.apply_decisions()
             return
         unknown = self.arbiter.apply_running(reply.running, asked_at, now)
         for ref in unknown:
-            log.warning(
-                "stopping a run that this agent did not order", extra={"task": task_name(ref)}
-            )
+            fields = {"task": task_name(ref), "run": ref.run, "token": self.token.value}
+            if self.arbiter.worker is not None:
+                fields["worker"], fields["worker_started_ms"] = self.arbiter.worker.lifetime
+            log.warning("stopping a run that this agent did not order", extra=fields)
             self.spawn(self.send_stop(ref))
         if not self.takeover_complete.is_set() and not unknown:
             self.takeover_complete.set()
@@ -224,8 +240,8 @@
         elif worker is not None:
             answer = await self.send_start_repeatedly(worker, run)
         if answer not in ("started", "returned", "stale", EVACUATED):
-            fields = {"task": task_name(run.order.ref), "run": run.order.run, "answer": answer}
-            log.info("start order failed", extra=fields)
+            fields = {"task": task_name(run.order.ref), "answer": answer}
+            log.info("start order failed", extra={**run_log_fields(run), **fields})
         self.arbiter.on_start_reply(run, answer, self.clock.now())
         self.apply_decisions()
 
@@ -256,13 +272,16 @@
         for _ in range(2):
             sent_at = self.clock.now()
             token = run.token = self.token.value
-            until_ms = int(self.worker_clock.estimate_ms(run.ordered_at) + self.lease.length_ms)
+            run.lifetime = worker.lifetime
+            until_ms = self.lease_end_ms(run.ordered_at)
             self.lease.renewed_at = max(self.lease.renewed_at, sent_at)
             timeout_s = self.answer_times.timeout_s
             reply = await self.client.start(worker, run.order, until_ms, token, timeout_s)
             now = self.clock.now()
+            if reply.started_ms:
+                run.lifetime = worker.id, reply.started_ms
             if self.is_credited(worker, reply):
-                self.worker_clock.update(reply.clock_ms, sent_at, now)
+                self.worker_clock.update(reply.clock_ms, now)
             if reply.is_lost:
                 self.list_polls.on_call_lost(now)
             if reply.answer == "unanswered":
--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -12,7 +12,6 @@
     CONTROL_HTTP_PORT,
     RESTART_DELAY_S,
     STOP_GRACE_S,
-    WORKER_CPU,
 )
 from onyxfork.workload.soak.schedule import UNPLANNED_KINDS
 
@@ -26,6 +25,9 @@
 ODD_REPORTS = 20
 """Reports of another writer that an agent gets one after the other."""
 
+MAX_IN_FLIGHT_S = 0.03
+"""Longest time from the sending of changes to the kill of all processes: about two commits."""
+
 TORN_BYTES = 37
 """Length of the incomplete record at the end of a torn log."""
 
@@ -85,6 +87,26 @@
             self.cluster.kill(name)
         await asyncio.sleep(fault.duration_s)
 
+    async def do_lose_power(self, fault):
+        """Kill every process right after changes of operators; some control instances lose disks.
+
+        The files of the others keep what was written without a sync, unlike in a loss of power.
+        """
+        await self.operators.change_configuration()
+        in_flight = asyncio.create_task(self.operators.send_concurrently())
+        await asyncio.sleep(self.operators.rng.uniform(0.0, MAX_IN_FLIGHT_S))
+        lost = [name for name in (fault.target, fault.other) if name]
+        others = [name for name in self.cluster.names() if name not in lost]
+        self.cluster.kill_together(self.cluster.names())
+        for name in lost:
+            self.cluster.wipe_data(name)
+        await asyncio.sleep(fault.duration_s)
+        first, second = (others, lost) if fault.amount > 0 else (lost, others)
+        self.cluster.start_together(first)
+        await asyncio.sleep(abs(fault.amount))
+        self.cluster.start_together(second)
+        await in_flight
+
     async def do_pause(self, fault):
         """Suspend a process for the duration of the fault."""
         self.cluster.pause(fault.target)
@@ -232,9 +254,10 @@
     async def do_shrink(self, fault):
         """Divide a worker's capacity by a factor for the duration of the fault."""
         worker = self.cluster.workers[fault.target]
-        worker.set_capacity(int(WORKER_CPU / fault.amount))
+        usual_cpu = self.cluster.profile.worker_cpu
+        worker.set_capacity(int(usual_cpu / fault.amount))
         await asyncio.sleep(fault.duration_s)
-        worker.set_capacity(WORKER_CPU)
+        worker.set_capacity(usual_cpu)
 
     async def do_leave(self, fault):
         """Drain a worker and end its lifetime as planned."""
@@ -261,6 +284,10 @@
         self.burst_factors.remove(fault.amount)
         self.callers.rate_factor = max(self.burst_factors, default=1.0)
 
+    async def do_reset_callers(self, fault):
+        """Reset the connections of callers to an entry, which send their jobs again."""
+        self.callers.reset_connections(fault.target)
+
     async def do_give_up(self, fault):
         """Let a share of the callers disconnect before they are answered."""
         self.callers.abandoned_share = 0.4
--- a/tests/direct/test_late_permissions.py
+++ b/tests/direct/test_late_permissions.py
@@ -24,8 +24,10 @@
 
 from onyxfork.addresses import Address  # noqa: E402
 from onyxfork.direct.agent import DirectAgent, run_agent  # noqa: E402
+from onyxfork.direct.arbiter import RESUME_TIMEOUT_S  # noqa: E402
 from onyxfork.direct.messages import TaskEvents  # noqa: E402
 from onyxfork.direct.telemetry import Telemetry  # noqa: E402
+from onyxfork.direct.worker_client import Reply  # noqa: E402
 from onyxfork.utils import SystemClock  # noqa: E402
 
 
@@ -97,6 +99,42 @@
     assert kinds(session) == [(0, "stopped")]
 
 
+# Guards against a job that never ends at its entry: the withdrawal of a run or its answer was lost
+# with the connection, and an agent that had started again knew nothing of the run.
+async def test_withdrawal_that_is_lost_with_its_connection_is_sent_again():
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, agent):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: worker.running)
+        connection = entry.connections["s1"]
+        connection.writer.transport.abort()
+        job.cancel()
+        await asyncio.wait([job])
+        agent.arbiter.sessions.clear()
+        agent.arbiter.runs.clear()
+        await until(lambda: entry.connections.get("s1") not in (None, connection))
+        await until(lambda: not entry.dispatcher.jobs)
+        assert entry.dispatcher.millicores_in_use == 0
+
+
+# Guards against TWICE: an agent that noticed the silence of a lost entry late waited for it as long
+# as one that noticed it in time, while the caller sent the job to another entry.
+async def test_wait_for_a_silent_entry_is_counted_from_its_silence():
+    worker = StandInWorker()
+    async with run_path(worker) as (entry, agent):
+        job = asyncio.create_task(entry.run_job(make_request(tasks=1, ms=5000.0)))
+        await until(lambda: worker.running)
+        (run,) = agent.arbiter.runs.values()
+        connection = agent.arbiter.sessions["e1"].connection
+        silence_s = connection.timing.silent_s + RESUME_TIMEOUT_S
+        connection.heard_at -= silence_s
+        connection.liveness.last_arrival_at -= silence_s
+        connection.close_if_silent()
+        await until(lambda: run.reason)
+        assert run.reason == "the entry is unreachable"
+        job.cancel()
+
+
 async def test_order_to_start_is_not_sent_after_a_pause():
     """The process was paused after it had decided to start the run and before it sent the order;
     the entry has declared the agent lost meanwhile."""
@@ -132,7 +170,7 @@
         (run,) = agent.arbiter.starts
         agent.arbiter.starts.clear()
         run.ordered_at -= 0.3
-        before_ms = agent.worker_clock.estimate_ms(agent.clock.now())
+        before_ms = agent.worker_clock.earliest_ms(agent.clock.now())
         await agent.start(run)
         assert leases[0] <= before_ms + agent.lease.length_ms - 250
 
@@ -190,3 +228,31 @@
             assert agent.port is None
             former.close()
             await until(lambda: agent.port == settings.listen.port)
+
+
+# Guards against TWICE: an agent that had started again renewed the lease of what its former process
+# had started, while its orders to stop were not answered and entries placed the tasks elsewhere.
+async def test_lease_of_runs_of_a_former_process_is_not_renewed():
+    worker, leases = StandInWorker(), []
+    worker.running[make_order().ref] = 0
+    renew_lease = worker.renew_lease
+
+    async def leave_unanswered(worker_now, ref, token, timeout_s):
+        await asyncio.sleep(timeout_s)
+        return Reply("unanswered")
+
+    async def record(worker_now, until_ms, *arguments):
+        if worker.running:
+            leases.append(until_ms)
+        await asyncio.sleep(0.001)
+        return await renew_lease(worker_now, until_ms, *arguments)
+
+    worker.stop, worker.renew_lease = leave_unanswered, record
+    agent = DirectAgent(make_settings("s1"), worker, SystemClock(), Telemetry("agent", "s1", "a"))
+    async with run_agent(agent):
+        agent.on_worker_report(make_worker())
+        await until(lambda: len(leases) > 5)
+        worker.running.clear()
+        await agent.takeover_complete.wait()
+        assert set(leases) == {None}
+        await until(lambda: agent.lease.renewed_at)
