--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -120,8 +120,8 @@
         Sessions that were dropped because the entry was unreachable, by name of its node. They hold
         the events of ended runs for an entry that returns later.
     unclaimed_ends : dict
-        Outcomes of ended runs, by `TaskRef`, that this process has not ordered; their entries ask
-        for them when they reconnect.
+        Outcomes of ended runs, by `TaskRef`, that are not among the runs here: those that a former
+        process has ordered, for entries that ask for them, and ends that were listed twice.
     runs : dict
         Runs by task key; a task has at most one run at a worker.
     queue : list of (float, int, Run)
--- a/onyxfork/direct/worker_lifetimes.py
+++ b/onyxfork/direct/worker_lifetimes.py
@@ -88,7 +88,7 @@
             worker.state = DRAINING
 
     def on_worker_left(self, worker_id):
-        """Ask a worker that is said to leave as planned until it is gone.
+        """Ask a worker that has announced its departure until it is gone.
 
         It may still run tasks when it sends the notice. The notice may also be a late one of a
         former lifetime under the same identifier.
@@ -101,14 +101,14 @@
             self.spawn(self.verify_departure(current))
 
     async def verify_departure(self, worker):
-        """End the lifetime of a worker that is said to leave, once nothing runs there any more."""
+        """End the lifetime of a worker that has announced its departure once it is gone."""
         for _ in range(MAX_DEPARTURE_CHECKS):
             reply = await self.list_polls.request(
                 worker, None, self.token.value, self.last_end, 0, fresh=True
             )
             if not self.is_current_lifetime(worker):
                 return
-            # A connection that breaks may have been reset on its way to a worker that goes on.
+            # A reset connection does not show that the worker has ended.
             if reply.connection_refused or reply.answer == "other-lifetime":
                 self.end_departed_lifetime(worker)
                 return
--- a/onyxfork/direct/workers.py
+++ b/onyxfork/direct/workers.py
@@ -86,15 +86,15 @@
     reported_at: float = 0.0
     clock_offset_s: float | None = None
 
+    address: str = ""
+    incarnation: str = ""
+    is_former: bool = False
+
     @property
     def worker_id(self):
         """Identifier of the worker in the latest report, empty if there is none."""
         return self.status.worker if self.status is not None else ""
 
-    address: str = ""
-    incarnation: str = ""
-    is_former: bool = False
-
     @property
     def is_ready(self):
         """Whether the worker may get new tasks."""
