--- a/review/common-2/minion.py
+++ b/review/common-2/minion.py
@@ -18,9 +18,17 @@
     def __init__(self, settings):
         self.settings = settings
         self.journal = open(settings["journal"], "a", buffering=1)
+        self.report_now = asyncio.Event()
         self.id = settings["id"]
+        self.life, self.is_dark = 1, False
+        self.begin_life()
+        self.late_share = settings.get("late_share", 0.0)
+        self.rng = random.Random(settings.get("seed", 1))
+
+    def begin_life(self):
+        """Begin a lifetime, which holds and knows nothing of before."""
         self.born = int(time.time() * 1000)
-        self.rate = settings.get("clock_rate", 0.99)
+        self.rate = self.settings.get("clock_rate", 0.99)
         self.started = time.monotonic()
         self.token = 0
         self.until_ms = 0.0
@@ -29,8 +37,25 @@
         self.changed = asyncio.Event()
         self.sequence = 0
         self.state = "ready"
-        self.late_share = settings.get("late_share", 0.0)
-        self.rng = random.Random(settings.get("seed", 1))
+
+    async def crash(self, seconds, labels=None):
+        """Crash, answer nothing for some seconds, and start again under the same id.
+
+        The next lifetime has the given labels, by default those of the former one.
+
+        Channels of the former lifetime, and those opened meanwhile, stay silent.
+        """
+        for task in list(self.running):
+            self.end(task, "crashed")
+        self.is_dark = True
+        await asyncio.sleep(seconds)
+        self.life += 1
+        self.is_dark = False
+        self.settings["labels"] = labels or self.settings["labels"]
+        self.begin_life()
+        self.note("born", labels=self.settings["labels"], cpu=self.settings["cpu"])
+        await asyncio.sleep(self.rng.uniform(0, 1.5))
+        self.report_now.set()
 
     def clock_ms(self):
         """Milliseconds of this lifetime's own clock."""
@@ -134,6 +159,15 @@
         ended = [row for row in self.ended if row[0] > seen][:500]
         return 200, {"born": self.born, "running": rows, "ended": ended}
 
+    def carry_out_late(self, handler, body):
+        """Carry out an unanswered order, in whatever lifetime has the id by then."""
+        if self.is_dark:
+            return
+        if handler == self.start:
+            self.start(body, late=True)
+        else:
+            handler(body)
+
     # Serving
 
     async def call(self, path, headers, body):
@@ -145,25 +179,35 @@
             return 404, {}
         handler = self.start if path == "/run-start" else self.stop
         if self.rng.random() < self.late_share:
-            asyncio.get_running_loop().call_later(self.rng.uniform(2, 12), handler, body)
+            asyncio.get_running_loop().call_later(
+                self.rng.uniform(2, 12), self.carry_out_late, handler, body
+            )
             return None, {}
         return handler(body)
 
     async def serve(self, reader, writer):
+        life = None if self.is_dark else self.life
         try:
             while True:
                 request = await read_message(reader)
                 if request is None:
                     break
+                if self.is_dark or life != self.life:
+                    await reader.read()
+                    break
                 line, headers, body = request
                 path = line.split()[1]
                 if path == "/admin":
-                    self.__dict__.update(json.loads(body))
+                    changes = json.loads(body)
+                    if "crash_s" in changes:
+                        crash = self.crash(changes.pop("crash_s"), changes.pop("labels", None))
+                        self.crash_task = asyncio.create_task(crash)
+                    self.__dict__.update(changes)
                     status, answer = 200, {}
                 else:
                     status, answer = await self.call(path, headers, json.loads(body or b"{}"))
-                if status is None:
-                    await asyncio.sleep(20)
+                if status is None or life != self.life or self.is_dark:
+                    await reader.read()
                     break
                 answer["clockMs"] = int(self.clock_ms())
                 writer.write(encode(f"HTTP/1.1 {status} X", answer))
@@ -176,6 +220,10 @@
     async def report(self):
         settings = self.settings
         while True:
+            self.report_now.clear()
+            if self.is_dark:
+                await self.report_now.wait()
+                continue
             self.sequence += 1
             body = {
                 "service": settings["service"],
@@ -198,13 +246,17 @@
                 self.note("report", state=self.state, status=status[0])
             except (OSError, TimeoutError, asyncio.IncompleteReadError):
                 pass
-            await asyncio.sleep(1.5 * self.rng.uniform(0.9, 1.1))
+            try:
+                async with asyncio.timeout(1.5 * self.rng.uniform(0.9, 1.1)):
+                    await self.report_now.wait()
+            except TimeoutError:
+                pass
 
     async def run(self):
         host, port = self.settings["listen"].split(":")
         self.note("born", labels=self.settings["labels"], cpu=self.settings["cpu"])
         await asyncio.start_server(self.serve, host, int(port))
-        asyncio.create_task(self.report())
+        self.report_task = asyncio.create_task(self.report())
         while True:
             self.advance()
             await asyncio.sleep(0.003)
--- a/review/common-2/small_site.py
+++ b/review/common-2/small_site.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 
 from minion import call
@@ -18,6 +19,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 COMMON = Path(__file__).resolve().parent
 HOST, SERVICE = "nony24.example", "huvo11a"
+OVERLAP_SLACK_S = 0.02
+"""Shorter overlaps are not counted: a minion notices the end of a run by a timer."""
 QUEUES = {"lohu930": 0, "pufi791": 2, "pule252": 1}
 
 BOUNDS = """[bounds]
@@ -249,3 +252,53 @@
 
 def new_id():
     return f"{random.getrandbits(64):016x}"
+
+
+def overlaps(events):
+    """Return a line for each pair of runs of one task that were in progress at the same time."""
+    runs, lines = {}, []
+    for row in events:
+        if row["event"] == "start":
+            run = [row["at"], float("inf"), row["minion"], row["run"], row["late"]]
+            runs.setdefault(row["task"], []).append(run)
+        elif row["event"] == "end":
+            for run in runs[row["task"]]:
+                if run[2:4] == [row["minion"], row["run"]]:
+                    run[1] = min(run[1], row["at"])
+    for task, spans in runs.items():
+        for number, one in enumerate(spans):
+            for two in spans[number + 1 :]:
+                shared_s = min(one[1], two[1]) - max(one[0], two[0])
+                if shared_s > OVERLAP_SLACK_S:
+                    lines.append(
+                        f"{task}: run {one[3]} on {one[2]}{' (order late)' * one[4]} and run "
+                        f"{two[3]} on {two[2]}{' (order late)' * two[4]} at the same time for "
+                        f"{shared_s:.2f} s"
+                    )
+    return lines
+
+
+def run_case(site, play, rule, folder, trouble, limit_s=108):
+    """Play a case on a site, end all processes, write the record, and return the exit status.
+
+    `play` takes the site and returns a line for each break of the rule.
+    """
+
+    def stop(*_):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, stop)
+    status = 2
+    try:
+        broken = asyncio.run(asyncio.wait_for(play(site), limit_s))
+        for line in broken:
+            site.note(f"{rule}: {line}")
+        site.note(f"trouble {int(trouble)}: {'broken' if broken else 'held'}")
+        print("\n".join(broken) or "held")
+        status = 1 if broken else 0
+    except Exception:
+        traceback.print_exc()
+        site.note("the case could not run")
+    finally:
+        site.end(folder / "record.txt")
+    return status
