--- a/review/common-2/minion.py
+++ b/review/common-2/minion.py
@@ -290,8 +290,11 @@
     if on_open is not None:
         on_open(writer)
     try:
-        writer.write(encode(f"{method} {path} HTTP/1.1", body, headers) if body is not None
-                     else ("\r\n".join([f"{method} {path} HTTP/1.1", *headers]) + "\r\n\r\n").encode())
+        writer.write(
+            encode(f"{method} {path} HTTP/1.1", body, headers)
+            if body is not None
+            else ("\r\n".join([f"{method} {path} HTTP/1.1", *headers]) + "\r\n\r\n").encode()
+        )
         message = await read_message(reader)
         if message is None:
             raise ConnectionResetError("closed without a response")
--- a/review/common-2/small_site.py
+++ b/review/common-2/small_site.py
@@ -51,8 +51,9 @@
 class SmallSite:
     """Processes by name: core-1.., edge-1.., agent-1.., minion-1.. ."""
 
-    def __init__(self, cores=1, edges=2, agents=2, labels=None, cpu=32000, guards=True,
-                 late_share=0.0):
+    def __init__(
+        self, cores=1, edges=2, agents=2, labels=None, cpu=32000, guards=True, late_share=0.0
+    ):
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.net = random.randint(16, 220)
         self.names = [f"core-{n + 1}" for n in range(cores)]
@@ -92,18 +93,27 @@
         serves = {"core": "control", "edge": "edge", "agent": "side"}[role]
         seeds = [self.address(core, "control") for core in self.cores()]
         lines = [
-            f'node = "{name}"', f'role = "{role}"', f'serves = ["{serves}"]',
-            f'ip = "{self.ip(name)}"', 'zone = "bergen-a"', 'region = "vestland"',
+            f'node = "{name}"',
+            f'role = "{role}"',
+            f'serves = ["{serves}"]',
+            f'ip = "{self.ip(name)}"',
+            'zone = "bergen-a"',
+            'region = "vestland"',
             f'internalPorts = [{self.ports["internal"]}, {self.ports["internal"] + 5}]',
-            f"seeds = {json.dumps(seeds)}", f"bootstrap = {str(bootstrap).lower()}",
-            "heartbeatMs = 1500", 'orders = "rpc"', 'config_mode = "highest"',
+            f"seeds = {json.dumps(seeds)}",
+            f"bootstrap = {str(bootstrap).lower()}",
+            "heartbeatMs = 1500",
+            'orders = "rpc"',
+            'config_mode = "highest"',
         ]
         if role == "core":
             lines.append(f'dataDir = "{self.folder / name}"')
             listen = [f'control = "{self.address(name, "control")}"']
         elif role == "edge":
-            listen = [f'front = "{self.address(name, "front")}"',
-                      f'ready = "{self.address(name, "ready")}"']
+            listen = [
+                f'front = "{self.address(name, "front")}"',
+                f'ready = "{self.address(name, "ready")}"',
+            ]
         else:
             lines += [f'app = "{self.address(name, "app")}"', f'service = "{SERVICE}"']
             listen = [f'control = "{self.address(name, "control")}"']
@@ -115,7 +125,9 @@
     def start(self, name, bootstrap=True):
         role = {"core": "control", "edge": "entry", "agent": "agent"}[name.partition("-")[0]]
         (self.folder / name).mkdir(exist_ok=True)
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment |= {
             "ONYXFORK_BOOT": str(self.settings(name, bootstrap)),
             "PYTHONPATH": str(ROOT / "target/deps"),
@@ -131,9 +143,15 @@
         settings = {
             "id": f"i-{number}" if keep_id else f"i-{number}-{life}",
             "journal": str(self.folder / f"{name}.jsonl"),
-            "service": SERVICE, "zone": "bergen-a", "cpu": self.cpu, "guards": self.guards,
-            "labels": self.labels[number - 1], "late_share": self.late_share, "seed": life,
-            "listen": self.address(agent, "app"), "agent": self.address(agent, "control"),
+            "service": SERVICE,
+            "zone": "bergen-a",
+            "cpu": self.cpu,
+            "guards": self.guards,
+            "labels": self.labels[number - 1],
+            "late_share": self.late_share,
+            "seed": life,
+            "listen": self.address(agent, "app"),
+            "agent": self.address(agent, "control"),
             **changes,
         }
         path = self.folder / f"{name}-{life}.json"
@@ -143,7 +161,11 @@
     def spawn(self, name, command, environment):
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=log, stderr=log,
+                command,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
                 stdin=subprocess.DEVNULL,
             )
 
@@ -185,15 +207,35 @@
 
     def config(self, version, queues=None):
         routes = [
-            {"name": f"r-{queue}", "host": HOST, "pathPrefix": f"/{queue}/", "type": "unsafe",
-             "timeoutMs": 15000, "targetLatencyMs": 60, "priority": priority, "service": SERVICE,
-             "attempts": 3, "stretch": 1.6}
+            {
+                "name": f"r-{queue}",
+                "host": HOST,
+                "pathPrefix": f"/{queue}/",
+                "type": "unsafe",
+                "timeoutMs": 15000,
+                "targetLatencyMs": 60,
+                "priority": priority,
+                "service": SERVICE,
+                "attempts": 3,
+                "stretch": 1.6,
+            }
             for queue, priority in (queues or QUEUES).items()
         ]
-        service = {"name": SERVICE, "healthPath": "/health", "maxConns": 64, "protocol": "h1",
-                   "tls": False, "rejectsOverload": self.guards, "standby": False}
-        limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
-                  "idleTimeoutMs": 15000}
+        service = {
+            "name": SERVICE,
+            "healthPath": "/health",
+            "maxConns": 64,
+            "protocol": "h1",
+            "tls": False,
+            "rejectsOverload": self.guards,
+            "standby": False,
+        }
+        limits = {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 262144,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        }
         return {"version": version, "routes": routes, "services": [service], "limits": limits}
 
     async def put_config(self, version, queues=None):
@@ -202,8 +244,14 @@
             for core in self.cores():
                 try:
                     status, _ = await asyncio.wait_for(
-                        call(self.address(core, "control"), "PUT", "/config",
-                             self.config(version, queues)), 1.5)
+                        call(
+                            self.address(core, "control"),
+                            "PUT",
+                            "/config",
+                            self.config(version, queues),
+                        ),
+                        1.5,
+                    )
                     if status == 200:
                         return
                 except (OSError, TimeoutError, asyncio.IncompleteReadError):
