Log stops of runs that take 0.3 s or more

Change: one line a slow stop, with the orders sent, the time taken, the acknowledgement and the rest of the lease.

--- a/onyxfork/direct/run_log.py
+++ b/onyxfork/direct/run_log.py
@@ -9,6 +9,7 @@
     "run_log_fields",
     "log_start",
     "log_stop",
+    "log_slow_stop",
     "log_end",
     "log_refused_order",
     "describe_stopped_runs",
@@ -19,6 +20,9 @@
 MAX_RUNS_LOGGED = 50
 """Upper bound on the runs named in one log line."""
 
+SLOW_STOP_S = 0.3
+"""A stop that takes this long has a line of its own; a worker answers an order in milliseconds."""
+
 
 def run_log_fields(run):
     """Return log fields that identify a run, its entry, its worker and its fencing token.
@@ -57,6 +61,33 @@
     log.info("stopping run", extra={**run_log_fields(run), "reason": reason})
 
 
+def log_slow_stop(run, orders, waited_s, acknowledged, lease_left_s):
+    """Log how often a run had to be ordered to stop, if the first orders were of no effect.
+
+    Parameters
+    ----------
+    run : Run
+    orders : int
+        Orders to stop that were sent.
+    waited_s : float
+        Time from the first order until the stop was settled.
+    acknowledged : bool
+        Whether the worker has acknowledged an order; else the run has ended in another way.
+    lease_left_s : float
+        Time until the latest end of the worker's lease; negative after it.
+    """
+    if waited_s < SLOW_STOP_S:
+        return
+    fields = {
+        **run_log_fields(run),
+        "orders": orders,
+        "waited_ms": round(waited_s * 1000),
+        "acknowledged": acknowledged,
+        "lease_left_ms": round(lease_left_s * 1000),
+    }
+    log.info("run stopped slowly", extra=fields)
+
+
 def log_end(run, event):
     """Log the end of a run, unless it is an ordinary one.
 
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -7,7 +7,7 @@
 import logging
 from contextlib import suppress
 
-from onyxfork.direct.run_log import run_log_fields
+from onyxfork.direct.run_log import log_slow_stop, run_log_fields
 from onyxfork.direct.runs import EVACUATED, STARTING
 from onyxfork.direct.worker_lifetimes import RETRY_DELAY_S, WorkerLifetimes, retry_delay_s
 from onyxfork.utils import logged_failures
@@ -316,8 +316,13 @@
 
     async def stop_run(self, run):
         """Stop a run at the worker and report the outcome to the arbiter."""
-        if await self.send_stop(run.order.ref):
-            self.arbiter.on_stop_reply(run, self.clock.now())
+        began_at = self.clock.now()
+        orders, is_settled = await self.send_stop(run.order.ref)
+        now = self.clock.now()
+        if is_settled:
+            self.arbiter.on_stop_reply(run, now)
+        lease_left_s = self.arbiter.lease_ends_at - now
+        log_slow_stop(run, orders, now - began_at, is_settled, lease_left_s)
         if run.start_unconfirmed:
             await self.read_lists()
 
@@ -332,14 +337,14 @@
 
         Returns
         -------
-        bool
-            Whether the order is settled at the current lifetime. If another one has begun, the run
-            has ended, or `Arbiter.begin_lifetime` has it stopped again.
+        tuple of (int, bool)
+            Orders sent, and whether the order is settled at the current lifetime. If another one
+            has begun, the run has ended, or `Arbiter.begin_lifetime` has it stopped again.
         """
         for attempt in range(MAX_STOP_ATTEMPTS):
             worker = self.arbiter.worker
             if worker is None:
-                return False
+                return attempt, False
             token = self.token.value
             reply = await self.client.stop(worker, ref, token, self.answer_times.timeout_s)
             if reply.is_lost:
@@ -349,12 +354,12 @@
                 continue
             if reply.answer not in ("unanswered", "unhealthy"):
                 if self.is_credited(worker, reply):
-                    return True
+                    return attempt + 1, True
                 if not self.is_current_lifetime(worker):
-                    return False
+                    return attempt + 1, False
             await asyncio.sleep(RETRY_DELAY_S * min(attempt, MAX_RETRY_DELAY_FACTOR))
         log.warning("order to stop not acknowledged", extra={"task": task_name(ref)})
-        return self.is_current_lifetime(worker)
+        return MAX_STOP_ATTEMPTS, self.is_current_lifetime(worker)
 
 
 def task_name(ref):
