Soak: workers leave a share of orders unanswered while callers' connections are reset

Change: a share of the orders to start and to stop gets no response and is carried out 2 to 12 s later, as on the platform; the schedule draws such periods (0.05 or 0.5, 2 to 4 s) with resets of callers from a sequence of its own, so other faults of a seed stay.

--- a/onyxfork/platform/standin/worker.py
+++ b/onyxfork/platform/standin/worker.py
@@ -41,6 +41,10 @@
 """How long after its arrival an unanswered order to start is carried out: 2 to 12 s on the
 platform, shorter here so that it happens while the job is still in progress."""
 
+MIN_LATE_ORDER_S, MAX_LATE_ORDER_S = 2.0, 12.0
+"""How long after its arrival one of a share of orders that stay unanswered is carried out, as on
+the platform."""
+
 
 @define(slots=True)
 class RunRecord:
@@ -102,6 +106,8 @@
         lease), ``late`` (orders to start get no response and are carried out after a delay),
         ``mute`` (orders to start are carried out at once and get no response), ``shed`` (orders to
         start are refused) or empty.
+    unanswered_share : float
+        Share of the orders to start and to stop that get no response and are carried out late.
     keeps_id : bool
         Whether all lifetimes have the same identifier.
     address : Address or None
@@ -154,6 +160,7 @@
     rng: Random
     journal: list = field(factory=list)
     fault: str = ""
+    unanswered_share: float = 0.0
     keeps_id: bool = False
     address: object = None
     guards_capacity: bool = True
@@ -360,23 +367,32 @@
         body = json.loads(request.body)
         if request.path == "/hold":
             return self.answer(*await worker.renew_lease(body))
+        if worker.unanswered_share and worker.rng.random() < worker.unanswered_share:
+            delay_s = worker.rng.uniform(MIN_LATE_ORDER_S, MAX_LATE_ORDER_S)
+            self.spawn(self.carry_out_late(worker.id, request.path, body, delay_s))
+            return await self.leave_unanswered(request)
         if request.path == "/run-stop":
             return self.answer(*worker.stop(body))
         return await self.start(request, body)
 
+    async def leave_unanswered(self, request):
+        """Reset the connection of a request once its sender has given it up."""
+        await asyncio.sleep(MAX_START_DELAY_S)
+        request.transport.abort()
+        return json_response(503, {})
+
     async def start(self, request, body):
         """Respond to an order to start, or leave it unanswered, depending on the worker's fault."""
         worker = self.worker
         if worker.fault == "shed":
             return json_response(503, {})
         if worker.fault == "late":
-            self.spawn(self.start_late(worker.id, body))
+            delay_s = worker.rng.uniform(MIN_START_DELAY_S, MAX_START_DELAY_S)
+            self.spawn(self.carry_out_late(worker.id, request.path, body, delay_s))
         if worker.fault == "mute":
             worker.start(body)
         if worker.fault in ("late", "mute"):
-            await asyncio.sleep(MAX_START_DELAY_S)
-            request.transport.abort()
-            return json_response(503, {})
+            return await self.leave_unanswered(request)
         status, response = worker.start(body)
         if status == 200 and worker.crashes_on(body["spec"], body["task"]):
             self.spawn(self.crash(worker.lifetime))
@@ -398,14 +414,18 @@
             await asyncio.sleep(CRASH_RETURN_S)
             worker.is_up = True
 
-    async def start_late(self, worker_id, body):
-        """Carry out an order to start after a random delay, if its worker's identifier is in use.
+    async def carry_out_late(self, worker_id, path, body, delay_s):
+        """Carry out an order after a delay, if its worker's identifier is still in use.
 
         Another lifetime with the same identifier carries it out, too.
         """
         worker = self.worker
-        await asyncio.sleep(worker.rng.uniform(MIN_START_DELAY_S, MAX_START_DELAY_S))
-        if worker.is_up and worker.id == worker_id:
+        await asyncio.sleep(delay_s)
+        if not worker.is_up or worker.id != worker_id:
+            return
+        if path == "/run-stop":
+            worker.stop(body)
+        else:
             worker.start(body, started_late=True)
 
     def answer(self, status, body):
--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -242,6 +242,15 @@
         if worker.fault == fault.kind:
             worker.fault = ""
 
+    async def do_unanswered(self, fault):
+        """Let all workers leave a share of the orders unanswered, and carry them out late."""
+        workers = self.cluster.workers.values()
+        for worker in workers:
+            worker.unanswered_share = fault.amount
+        await asyncio.sleep(fault.duration_s)
+        for worker in workers:
+            worker.unanswered_share = 0.0
+
     do_fail = do_hang = do_late = do_mute = do_shed = set_worker_fault
 
     async def do_slow(self, fault):
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -65,7 +65,15 @@
 LINK_KINDS = ("delay", "reset", "cut", "lose", "silence")
 WORKER_KINDS = ("crash", "reborn", "fail", "hang", "late", "mute", "shed", "slow", "leave")
 LOAD_KINDS = ("burst", "give_up", "storm", "race", "invalid")
-LATER_KINDS = ("crashing", "shrink", "evacuate", "cut_reborn", "odd_reports", "reset_callers")
+LATER_KINDS = (
+    "crashing",
+    "shrink",
+    "evacuate",
+    "cut_reborn",
+    "odd_reports",
+    "reset_callers",
+    "unanswered",
+)
 """Kinds that are drawn from random sequences of their own, so that the other faults of a seed stay
 the same."""
 
@@ -96,6 +104,14 @@
 MEAN_SILENCE_INTERVAL_S = 4.0
 """Mean time between two pauses of an entry at which its callers' connections are reset."""
 
+MEAN_UNANSWERED_INTERVAL_S = 5.0
+UNANSWERED_SHARES = 0.05, 0.5
+"""Mean time between two periods in which workers leave orders unanswered, and their shares: that of
+the users' deployments, and the platform's default."""
+
+MAX_RESETS = 3
+"""Upper bound on the resets of callers' connections in such a period."""
+
 SILENCE_S = 0.7
 """Silence of an entry after which an agent closes the connection."""
 
@@ -192,8 +208,9 @@
     amount : float
         Clock step in milliseconds (``step_clock``), delay in seconds (``delay``), or factor of run
         times (``slow``) or of the rate of jobs (``burst``), divisor of the capacity (``shrink``),
-        or share of jobs (``crashing``), or seconds by which the instances with lost disks return
-        later than all others (``lose_power``); other kinds do not use it.
+        or share of jobs (``crashing``) or of orders (``unanswered``), or seconds by which the
+        instances with lost disks return later than all others (``lose_power``); other kinds do not
+        use it.
     """
 
     at_s: float
@@ -305,6 +322,7 @@
     faults += draw_cuts(Random(f"{seed} cuts"), seconds, size)
     faults += draw_outages(Random(f"{seed} outages"), seconds, size)
     faults += draw_silences(Random(f"{seed} silences"), seconds, size)
+    faults += draw_unanswered(Random(f"{seed} unanswered"), seconds, size)
     if kill_all not in faults:
         faults += draw_power_loss(Random(f"{seed} power"), seconds, size, draw.faults)
     return sorted(faults, key=lambda fault: fault.at_s)
@@ -431,6 +449,19 @@
     return faults
 
 
+def draw_unanswered(rng, seconds, size):
+    """Draw periods in which workers leave orders unanswered and callers' connections are reset."""
+    faults, at_s = [], WARM_UP_S
+    while (at_s := at_s + rng.expovariate(1 / MEAN_UNANSWERED_INTERVAL_S)) < seconds:
+        fault = Fault(at_s, "unanswered", duration_s=rng.uniform(2.0, MAX_FAULT_S))
+        fault.amount = rng.choice(UNANSWERED_SHARES)
+        faults.append(fault)
+        for _ in range(rng.randint(1, MAX_RESETS)):
+            reset_at_s = rng.uniform(at_s, fault.ends_at_s)
+            faults.append(Fault(reset_at_s, "reset_callers", rng.choice(size.names("entry"))))
+    return faults
+
+
 def draw_evacuations(rng, seconds, size):
     """Draw evacuations of zones, which may overlap; each zone is evacuated at most once."""
     if rng.random() >= EVACUATION_SHARE:
