Bound the lease by runs that their entry has withdrawn

Cause: only an order to stop ended a withdrawn run. The agent went on renewing the worker's lease, since the entry was in contact, and all orders to stop within 1.3 s were lost. Change: a withdrawn run whose stop is not settled bounds the lease like an entry that has been silent since: 1.2 s from the latest echo before the withdrawal. The echo precedes the withdrawal on its connection, so the bound holds however late the withdrawal is read. Runs that the agent finds in the worker's lists and doesn't know bound it too. An unanswered start is settled once it is too late. Why it works: the worker itself ends the run, at 1.29 s at the latest on a clock 2 % slow, whatever orders are lost.

--- a/onyxfork/direct/arbiter.py
+++ b/onyxfork/direct/arbiter.py
@@ -122,6 +122,9 @@
     unclaimed_ends : dict
         Outcomes of ended runs, by `TaskRef`, that are not among the runs here: those that a former
         process has ordered, for entries that ask for them, and ends that were listed twice.
+    unknown_runs : dict
+        Runs at the worker that are not among the runs here, by `TaskRef`, and when the list that
+        first named each was requested. They are stopped.
     runs : dict
         Runs by task key; a task has at most one run at a worker.
     queue : list of (float, int, Run)
@@ -180,6 +183,7 @@
         self.sessions = {}
         self.former_sessions = {}
         self.unclaimed_ends = {}
+        self.unknown_runs = {}
         self.runs = {}
         self.queue = []
         self.sequence = count()
@@ -294,6 +298,7 @@
         if self.worker is not None:
             self.ended_lifetimes.append(self.worker.lifetime)
         self.worker = self.departing = None
+        self.unknown_runs = {}
         self.cpu_limit = 0
         self.changed = True
         for run in [run for run in self.runs.values() if run not in kept]:
--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -78,7 +78,7 @@
                 continue
             ref = wanted.pop(run.key, None)
             if ref is None or ref.run != run.order.run:
-                self.stop(run, "not expected by its entry", now)
+                self.withdraw_run(run, "not expected by its entry", now)
             elif run.state == RUNNING:
                 session.events.append(run.make_event("started", now))
         for ref in wanted.values():
@@ -131,18 +131,18 @@
             Monotonic seconds; infinity if its orders did not come over a connection.
         """
         clock = session.latest_agent_clock
-        if clock is None:
-            return math.inf
-        # The monotonic clock does not count suspensions of the machine.
+        return math.inf if clock is None else self.include_suspensions(clock)
+
+    def include_suspensions(self, clock):
+        """Return a value of the monotonic clock, moved back by the suspensions since.
+
+        The monotonic clock does not count suspensions of the machine.
+        """
         return clock - sum(seconds for at, seconds in self.suspensions if clock < at)
 
     def sessions_with_started_runs(self):
         """Return the sessions of runs that the worker may have and has not agreed to stop."""
-        return {
-            run.session
-            for run in self.runs.values()
-            if run.state != QUEUED and run.stop_acknowledged_at is None
-        }
+        return {run.session for run in self.runs.values() if not run.is_settled}
 
     def earliest_contact(self):
         """Return the earliest `contact_at` of the sessions that have started runs."""
@@ -152,13 +152,21 @@
         """Return until when a renewal may extend the worker's lease, in monotonic seconds.
 
         Sessions whose runs may start before the next renewal count like those with started runs,
-        because a lease can't be shortened.
+        because a lease can't be shortened. A run that its entry has withdrawn is covered no longer
+        than if the entry had been silent since: its task may run elsewhere as soon.
         """
         sessions = self.sessions_with_started_runs()
         sessions.update(
             session for session in self.sessions.values() if not self.is_session_stale(session, now)
         )
-        return min(map(self.contact_at, sessions), default=math.inf) + MAX_RUN_WITHOUT_CONTACT_S
+        contacts = [self.contact_at(session) for session in sessions]
+        contacts += [
+            self.include_suspensions(run.withdrawn_contact)
+            for run in self.runs.values()
+            if run.withdrawn_contact is not None and not run.is_settled
+        ]
+        contacts += [self.include_suspensions(at) for at in self.unknown_runs.values()]
+        return min(contacts, default=math.inf) + MAX_RUN_WITHOUT_CONTACT_S
 
     def outlasts_contact(self, session):
         """Return whether the worker's lease may already last too long for runs of a session."""
@@ -248,10 +256,21 @@
         for ref in refs:
             run = self.runs.get(ref.key)
             if run is not None and run.session is session and run.order.run == ref.run:
-                self.stop(run, "withdrawn", now)
+                self.withdraw_run(run, "withdrawn", now)
             else:
                 session.events.append(self.find_final_event(session, ref))
 
+    def withdraw_run(self, run, reason, now):
+        """Stop a run that its entry does not wait for any more.
+
+        The entry has withdrawn it after its latest echo, and the withdrawal may have been delayed
+        since. A run that was being stopped for another reason is bounded, too.
+        """
+        if run.withdrawn_contact is None:
+            clock = run.session.latest_agent_clock
+            run.withdrawn_contact = now if clock is None else min(clock, now)
+        self.stop(run, reason, now)
+
     def recall(self, session, refs, now):
         """Return runs that are still queued, because another worker has free capacity."""
         for ref in refs:
--- a/onyxfork/direct/arbiter_lists.py
+++ b/onyxfork/direct/arbiter_lists.py
@@ -42,7 +42,7 @@
         if len(self.unclaimed_ends) > MAX_UNCLAIMED_ENDS:
             del self.unclaimed_ends[next(iter(self.unclaimed_ends))]
 
-    def apply_running(self, listed, asked_at, now):
+    def apply_running(self, listed, asked_at, now, worker_clock_ms=0.0):
         """Update the progress of runs and finish those that the worker does not list any more.
 
         Parameters
@@ -52,6 +52,8 @@
         asked_at : float
             When the list was requested.
         now : float
+        worker_clock_ms : float
+            Lower bound on the worker's clock at that time.
 
         Returns
         -------
@@ -67,20 +69,24 @@
             run.progress_read_at = asked_at
             if percent > run.percent:
                 run.percent, run.progressed_at = percent, asked_at
+        self.unknown_runs = {ref: self.unknown_runs.get(ref, asked_at) for ref in unknown}
         for run in list(self.runs.values()):
-            if run.order.ref in listed or not self.must_be_listed(run, asked_at):
+            if run.order.ref in listed or not self.must_be_listed(run, asked_at, worker_clock_ms):
                 continue
             kind = "stopped" if run.start_unconfirmed else "lost"
             self.finish(run, kind, now, run.reason or "the worker does not list it")
         return unknown
 
     @staticmethod
-    def must_be_listed(run, asked_at):
+    def must_be_listed(run, asked_at, worker_clock_ms):
         """Return whether a run missing from a list requested at `asked_at` has certainly ended.
 
         A run whose order to start was not answered may have started. Once the worker has
-        acknowledged its stop, the run has either ended or will never start.
+        acknowledged its stop, or refuses the order as late, the run has either ended or will never
+        start.
         """
         if run.start_unconfirmed:
+            if worker_clock_ms > run.start_until_ms > 0:
+                return True
             return run.stop_acknowledged_at is not None and run.stop_acknowledged_at < asked_at
         return run.state in (RUNNING, STOPPING) and run.has_started and run.started_at < asked_at
--- a/onyxfork/direct/lease.py
+++ b/onyxfork/direct/lease.py
@@ -95,7 +95,10 @@
 
     def earliest_ms(self, now):
         """Return the lowest value of the worker's clock at a time of this process's clock."""
-        return self.clock_ms + (now - self.answered_at) * 1000 / MAX_CLOCK_DRIFT_FACTOR
+        elapsed_ms = (now - self.answered_at) * 1000
+        if elapsed_ms < 0:
+            return self.clock_ms + elapsed_ms * MAX_CLOCK_DRIFT_FACTOR
+        return self.clock_ms + elapsed_ms / MAX_CLOCK_DRIFT_FACTOR
 
 
 @define
--- a/onyxfork/direct/runs.py
+++ b/onyxfork/direct/runs.py
@@ -48,6 +48,8 @@
         When the start was requested from the worker.
     token : int
         Fencing token of the latest order to start it, 0 before.
+    start_until_ms : int
+        By the worker's clock, when it begins to refuse the latest order to start the run as late.
     lifetime : (str, int)
         Identifier and start of the worker's lifetime that has answered the order to start it, or
         that was sent the order if none has.
@@ -55,6 +57,8 @@
         Whether the order to start timed out without an answer of the worker.
     stop_acknowledged_at : float or None
         When the worker acknowledged an order to stop.
+    withdrawn_contact : float or None
+        Latest contact with its entry before the entry withdrew the run; None while it has not.
     reason : str
         Why the run is stopped, empty while it is not.
     percent : int
@@ -75,9 +79,11 @@
     started_at: float | None = None
     ordered_at: float = 0.0
     token: int = 0
+    start_until_ms: int = 0
     lifetime: tuple = ("", 0)
     start_unconfirmed: bool = False
     stop_acknowledged_at: float | None = None
+    withdrawn_contact: float | None = None
     reason: str = ""
     percent: int = 0
     progressed_at: float = 0.0
@@ -89,6 +95,11 @@
         """Key of the task, without the run number."""
         return (self.order.job, self.order.step, self.order.index)
 
+    @property
+    def is_settled(self):
+        """Whether the worker certainly doesn't have the run, or has agreed to stop it."""
+        return self.state == QUEUED or self.stop_acknowledged_at is not None
+
     @property
     def start_is_answered(self):
         """Whether the worker has answered the order to start."""
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -215,7 +215,8 @@
         if is_overtaken or reply.is_truncated:
             self.apply_decisions()
             return
-        unknown = self.arbiter.apply_running(reply.running, asked_at, now)
+        clock_ms = self.worker_clock.earliest_ms(asked_at)
+        unknown = self.arbiter.apply_running(reply.running, asked_at, now, clock_ms)
         for ref in unknown:
             fields = {"task": task_name(ref), "run": ref.run, "token": self.token.value}
             if self.arbiter.worker is not None:
@@ -277,6 +278,7 @@
             token = run.token = self.token.value
             run.lifetime = worker.lifetime
             until_ms = self.lease_end_ms(run.ordered_at)
+            run.start_until_ms = max(run.start_until_ms, until_ms)
             self.lease.renewed_at = max(self.lease.renewed_at, sent_at)
             timeout_s = self.answer_times.timeout_s
             reply = await self.client.start(worker, run.order, until_ms, token, timeout_s)
