Repeat orders to stop at a steady interval, without waiting for lost ones

Cause: one order to stop at a time, with a timeout shared with orders to start that doubles with each loss, and a growing pause; four to ten lost orders took over a second. Besides, a refusal and the fortieth lost order counted as acknowledgement. Change: an order every 0.05 s, at most 24 open for a worker; only `ok` or another lifetime settles it; it ends when the run is gone. Why it works: a series of lost orders costs as many intervals, 16 within the 0.8 s that the lease has left at the least.

--- a/onyxfork/direct/agent.py
+++ b/onyxfork/direct/agent.py
@@ -87,6 +87,10 @@
     ----------
     last_end : int
         Number of the latest ended run that the worker has reported.
+    open_stops : int
+        Orders to stop that the worker has not answered yet.
+    unknown_stops : set of TaskRef
+        Runs that are being stopped although this agent has not ordered them.
     list_polls : ListPolls
         Requests for the worker's lists of runs.
     missed_renewals : int
@@ -123,6 +127,8 @@
         self.answer_times = AnswerTimes()
         self.list_polls = ListPolls(client, clock, telemetry)
         self.last_end = 0
+        self.open_stops = 0
+        self.unknown_stops = set()
         self.missed_renewals = 0
         self.takeover_complete = asyncio.Event()
         self.lifetime_begun = asyncio.Event()
--- a/onyxfork/direct/answer_times.py
+++ b/onyxfork/direct/answer_times.py
@@ -5,7 +5,7 @@
 timeout it would revoke orders that the worker has carried out.
 """
 
-__all__ = ["AnswerTimes"]
+__all__ = ["AnswerTimes", "MAX_TIMEOUT_S"]
 
 MIN_TIMEOUT_S = 0.03
 """Lower bound on the timeout. A worker on the same machine answers within a few milliseconds, its
@@ -33,12 +33,17 @@
         self.backoff_factor = 1.0
 
     @property
-    def timeout_s(self):
-        """Timeout of the next order, in seconds."""
+    def usual_s(self):
+        """Time within which an order is usually answered, in seconds; unanswered ones aside."""
         if self.mean_s is None:
-            return min(MAX_TIMEOUT_S, self.backoff_factor * INITIAL_TIMEOUT_S)
+            return INITIAL_TIMEOUT_S
         expected = self.mean_s + DEVIATION_FACTOR * self.deviation_s
-        return min(MAX_TIMEOUT_S, self.backoff_factor * max(MIN_TIMEOUT_S, expected))
+        return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, expected))
+
+    @property
+    def timeout_s(self):
+        """Timeout of the next order, in seconds."""
+        return min(MAX_TIMEOUT_S, self.backoff_factor * self.usual_s)
 
     def record_timeout(self):
         """Double the timeout after an unanswered order: the machine may have become slow."""
--- a/onyxfork/direct/worker_driver.py
+++ b/onyxfork/direct/worker_driver.py
@@ -5,12 +5,13 @@
 
 import asyncio
 import logging
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 
+from onyxfork.direct.answer_times import MAX_TIMEOUT_S
 from onyxfork.direct.run_log import log_slow_stop, run_log_fields
 from onyxfork.direct.runs import EVACUATED, STARTING
 from onyxfork.direct.worker_lifetimes import RETRY_DELAY_S, WorkerLifetimes, retry_delay_s
-from onyxfork.utils import logged_failures
+from onyxfork.utils import logged_failures, owned_tasks
 
 __all__ = ["WorkerDriver", "task_name"]
 
@@ -34,16 +35,26 @@
 WATCH_REVIEW_S = 0.05
 """Interval at which `watch_lists` checks whether a second poll is needed."""
 
-MAX_RETRY_DELAY_FACTOR = 4
-"""Upper bound on the pause between orders to stop, in multiples of `RETRY_DELAY_S`."""
-
 MAX_START_REPEATS = 2
 """How often an unanswered order to start is repeated. A worker starts a run once however often it
 is ordered; with one call in twenty lost, two repeats leave one order in eight thousand."""
 
-MAX_STOP_ATTEMPTS = 40
-"""An order to stop is sent again until it is answered. If the worker stays unreachable, the lease
-expires and ends the run long before the last attempt."""
+STOP_INTERVAL_S = 0.05
+"""Interval at which an order to stop is repeated, unless the worker usually takes longer."""
+
+URGENT_STOP_S = 1.5
+"""How long an order is repeated at that interval. By then the lease of a run that its entry has
+withdrawn has expired."""
+
+LATER_STOP_INTERVAL_S = 0.25
+"""Interval at which an order to stop is repeated from then on."""
+
+STOP_SETTLED_ANSWERS = ("ok", "other-lifetime")
+"""Answers after which a run will end, or has ended with the lifetime that was called."""
+
+MAX_OPEN_STOPS = 24
+"""Upper bound on the unanswered orders to stop, half of the connections to a worker. Those of many
+runs would keep the renewals of the lease waiting."""
 
 
 class WorkerDriver(WorkerLifetimes):
@@ -218,11 +229,13 @@
         clock_ms = self.worker_clock.earliest_ms(asked_at)
         unknown = self.arbiter.apply_running(reply.running, asked_at, now, clock_ms)
         for ref in unknown:
+            if ref in self.unknown_stops:
+                continue
             fields = {"task": task_name(ref), "run": ref.run, "token": self.token.value}
             if self.arbiter.worker is not None:
                 fields["worker"], fields["worker_started_ms"] = self.arbiter.worker.lifetime
             log.warning("stopping a run that this agent did not order", extra=fields)
-            self.spawn(self.send_stop(ref))
+            self.spawn(self.stop_unknown(ref))
         if not self.takeover_complete.is_set() and not unknown:
             self.takeover_complete.set()
         self.apply_decisions()
@@ -334,34 +347,73 @@
         if worker is not None:
             await self.poll_lists(worker, 0)
 
+    async def stop_unknown(self, ref):
+        """Stop a run that this agent did not order."""
+        self.unknown_stops.add(ref)
+        try:
+            await self.send_stop(ref)
+        finally:
+            self.unknown_stops.discard(ref)
+
     async def send_stop(self, ref):
-        """Send an order to stop until it is acknowledged, at most `MAX_STOP_ATTEMPTS` times.
+        """Send orders to stop a run until one is acknowledged, or the run is gone.
+
+        They are sent at a steady interval and do not wait for one another: a series of lost orders
+        would otherwise take as long as all of their timeouts.
 
         Returns
         -------
         tuple of (int, bool)
-            Orders sent, and whether the order is settled at the current lifetime. If another one
-            has begun, the run has ended, or `Arbiter.begin_lifetime` has it stopped again.
+            Orders sent, and whether one was acknowledged by the lifetime that was current at the
+            first. If another one has begun, the run has ended, or `Arbiter.begin_lifetime` has it
+            stopped again.
         """
-        for attempt in range(MAX_STOP_ATTEMPTS):
-            worker = self.arbiter.worker
-            if worker is None:
-                return attempt, False
-            token = self.token.value
-            reply = await self.client.stop(worker, ref, token, self.answer_times.timeout_s)
-            if reply.is_lost:
-                self.list_polls.on_call_lost(self.clock.now())
-            if reply.answer == "fence":
-                self.token.on_refused(token)
-                continue
-            if reply.answer not in ("unanswered", "unhealthy"):
-                if self.is_credited(worker, reply):
-                    return attempt + 1, True
-                if not self.is_current_lifetime(worker):
-                    return attempt + 1, False
-            await asyncio.sleep(RETRY_DELAY_S * min(attempt, MAX_RETRY_DELAY_FACTOR))
-        log.warning("order to stop not acknowledged", extra={"task": task_name(ref)})
-        return MAX_STOP_ATTEMPTS, self.is_current_lifetime(worker)
+        began_at, worker, orders = self.clock.now(), self.arbiter.worker, 0
+        acknowledged = asyncio.Event()
+        async with owned_tasks() as spawn:
+            while worker is not None and self.is_current_lifetime(worker) and self.has_run(ref):
+                order = None
+                if self.open_stops < MAX_OPEN_STOPS:
+                    order = spawn(self.order_stop(worker, ref, acknowledged))
+                    orders += 1
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(self.stop_interval_s(began_at)):
+                        await acknowledged.wait()
+                        return orders, True
+                if order is not None and (not order.done() or order.result().is_lost):
+                    self.list_polls.on_call_lost(self.clock.now())
+        return orders, False
+
+    async def order_stop(self, worker, ref, acknowledged):
+        """Send one order to stop; set `acknowledged` if the worker agrees. Return the `Reply`."""
+        token = self.token.value
+        with self.counted_stop():
+            reply = await self.client.stop(worker, ref, token, MAX_TIMEOUT_S)
+        if reply.answer == "fence":
+            self.token.on_refused(token)
+        elif reply.answer in STOP_SETTLED_ANSWERS and self.is_credited(worker, reply):
+            acknowledged.set()
+        return reply
+
+    @contextmanager
+    def counted_stop(self):
+        """Count an order to stop among the open ones while the context is open."""
+        self.open_stops += 1
+        try:
+            yield
+        finally:
+            self.open_stops -= 1
+
+    def stop_interval_s(self, began_at):
+        """Return the time after which an order to stop is repeated, in seconds."""
+        if self.clock.now() - began_at >= URGENT_STOP_S:
+            return LATER_STOP_INTERVAL_S
+        return max(STOP_INTERVAL_S, self.answer_times.usual_s)
+
+    def has_run(self, ref):
+        """Return whether the worker may have a run, as far as this agent knows."""
+        run = self.arbiter.runs.get(ref.key)
+        return (run is not None and run.order.run == ref.run) or ref in self.arbiter.unknown_runs
 
 
 def task_name(ref):
--- a/tests/direct/test_unanswered_stops.py
+++ b/tests/direct/test_unanswered_stops.py
@@ -21,6 +21,7 @@
 from onyxfork.direct.agent import DirectAgent  # noqa: E402
 from onyxfork.direct.arbiter_entries import MAX_RUN_WITHOUT_CONTACT_S  # noqa: E402
 from onyxfork.direct.telemetry import Telemetry  # noqa: E402
+from onyxfork.direct.worker_client import Reply  # noqa: E402
 from onyxfork.platform.standin.worker import (  # noqa: E402
     StandInWorker,
     WorkerServer,
@@ -116,6 +117,14 @@
             > self.withdrawn_at[record.job] + RESEND_DELAY_S
         ]
 
+    def lapsed_runs(self):
+        """Return the runs that ended with the lease although they had not been withdrawn."""
+        return [
+            record
+            for record in self.worker.journal
+            if record.outcome == "lapsed" and record.job not in self.withdrawn_at
+        ]
+
 
 async def play(unanswered_share, seed, jobs=60):
     """Order runs, withdraw half of them after a while; return the site."""
@@ -141,6 +150,13 @@
     assert run_virtual(play(unanswered_share, seed)).overdue_runs() == []
 
 
+# Guards against lost work: orders to stop that were repeated too rarely took so long that the lease
+# expired, which ends the worker's other runs, too.
+@pytest.mark.parametrize("unanswered_share", [0.04, 0.06, 0.5])
+def test_withdrawn_run_does_not_cost_the_other_runs_of_its_worker(unanswered_share):
+    assert run_virtual(play(unanswered_share, 1, jobs=600)).lapsed_runs() == []
+
+
 def withdraw(site, ref):
     site.withdraw(ref)
 
@@ -235,3 +251,24 @@
 @pytest.mark.parametrize("withdrawn_after_s", [0.5, 0.55, 0.61])
 def test_lease_of_a_withdrawn_run_is_dated_by_the_echo_before_the_withdrawal(withdrawn_after_s):
     assert run_virtual(measure_lease(withdrawn_after_s)) <= MAX_RUN_WITHOUT_CONTACT_S + 1e-6
+
+
+# Guards against TWICE: a refusal of an order to stop was taken for its acknowledgement.
+def test_refused_order_to_stop_is_repeated():
+    async def refuse_two_stops():
+        async with owned_tasks() as spawn:
+            site = Site(0.0, 1, spawn)
+            await site.begin()
+            ref = site.order_run("00000000000000a1")
+            await asyncio.sleep(0.5)
+            stop, refusals = site.agent.client.stop, [Reply("room", 1000), Reply("invalid")]
+
+            async def refuse(*arguments):
+                return refusals.pop() if refusals else await stop(*arguments)
+
+            site.agent.client.stop = refuse
+            site.withdraw(ref)
+            await asyncio.sleep(0.5)
+            return [record.outcome for record in site.worker.journal]
+
+    assert run_virtual(refuse_two_stops()) == ["stopped"]
