--- a/tests/workload/soak/test_late_notices.py
+++ b/tests/workload/soak/test_late_notices.py
@@ -12,15 +12,18 @@
 SECONDS, RECOVERY_S = 8.0, 2.0
 
 
-def make_profile():
-    """Return a profile with runs that last for seconds, whose callers send again."""
+def make_profile(**long_jobs):
+    """Return a profile whose callers send again, and whose second kind of job is changed."""
     small = SoakProfile.small()
     kinds = [evolve(kind, jobs_per_s=0.2) for kind in small.kinds]
-    kinds[1] = evolve(kinds[1], jobs_per_s=1.5, run_ms=4000)
+    kinds[1] = evolve(kinds[1], **long_jobs)
     return evolve(small, kinds=tuple(kinds), max_attempts=4)
 
 
-def run_faults(faults, seed):
+LONG_RUNS = make_profile(jobs_per_s=1.5, run_ms=4000)
+
+
+def run_faults(faults, seed, profile=LONG_RUNS):
     """Run a short soak with these faults only; return the overlaps that it found."""
     verdict = asyncio.run(
         run_soak(
@@ -28,7 +31,7 @@
             SECONDS,
             SIZE,
             draw=lambda *_: faults,
-            profile=make_profile(),
+            profile=profile,
             recovery_s=RECOVERY_S,
         )
     )
