Soak draws a share of 0.8 of unanswered orders; runs shows slow stops

The line for a slow stop had no test, and onyxfork runs left out its figures. Change: a third share; a test of the line; its fields in the table of events.

--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -105,9 +105,9 @@
 """Mean time between two pauses of an entry at which its callers' connections are reset."""
 
 MEAN_UNANSWERED_INTERVAL_S = 5.0
-UNANSWERED_SHARES = 0.05, 0.5
+UNANSWERED_SHARES = 0.05, 0.5, 0.8
 """Mean time between two periods in which workers leave orders unanswered, and their shares: that of
-the users' deployments, and the platform's default."""
+the users' deployments, the platform's default, and one at which long series of orders are lost."""
 
 MAX_RESETS = 3
 """Upper bound on the resets of callers' connections in such a period."""
--- a/onyxfork/workload/task_runs.py
+++ b/onyxfork/workload/task_runs.py
@@ -90,6 +90,9 @@
     "runs_kept",
     "runs",
     "orders",
+    "waited_ms",
+    "acknowledged",
+    "lease_left_ms",
     "age_s",
     "retry_after_ms",
 )
--- a/tests/direct/test_run_log.py
+++ b/tests/direct/test_run_log.py
@@ -20,6 +20,7 @@
 from onyxfork.direct.arbiter import RESUME_TIMEOUT_S  # noqa: E402
 from onyxfork.direct.lease import FencingToken  # noqa: E402
 from onyxfork.direct.messages import TaskEvent  # noqa: E402
+from onyxfork.direct.run_log import SLOW_STOP_S, log_slow_stop  # noqa: E402
 from onyxfork.messages.codec import structure, unstructure  # noqa: E402
 
 
@@ -152,3 +153,16 @@
     for text in texts:
         ordered, started, ended, age = map(float, text[4:])
         assert 0 <= ordered <= started <= ended and age < 1000
+
+
+# Guards against runs whose lost orders to stop can't be told from a late withdrawal by the logs.
+def test_stop_that_takes_long_is_logged_with_its_orders_and_the_rest_of_the_lease(lines):
+    arbiter, session = make_arbiter()
+    arbiter.place(session, [make_order()], 0.0)
+    (run,) = start_all(arbiter, 0.0)
+    log_slow_stop(run, 1, SLOW_STOP_S - 0.01, True, 0.9)
+    log_slow_stop(run, 9, 0.45, False, 0.55)
+    (line,) = lines("run stopped slowly")
+    assert (line["job"], line["task"], line["run"]) == (run.order.job, "0.0", 1)
+    assert (line["orders"], line["waited_ms"]) == (9, 450)
+    assert (line["acknowledged"], line["lease_left_ms"]) == (False, 550)
