Soak: longer periods of unanswered orders, and a profile of long runs

Cause: the drawn periods were short, overlapping ones ended each other, and most runs of the profiles end before callers return. Change: periods of 4 to 7 s with 2 to 5 resets of callers; the largest share of overlapping ones applies; profile long-runs.

--- a/onyxfork/main.py
+++ b/onyxfork/main.py
@@ -292,7 +292,7 @@
     :param seed: seed of the faults and the load; the same seed gives the same faults
     :param seconds: duration in which faults are injected; a recovery phase and more load follow
     :param seeds: number of runs, one after the other, with consecutive seeds
-    :param profile: small, four-zones, large-workers, small-workers or many-workers
+    :param profile: small, long-runs, four-zones, large-workers, small-workers or many-workers
     :param busy: number of processes that keep cores of the machine busy meanwhile
     :param controls: number of control instances, unless that of the profile
     :param entries: number of entries, unless that of the profile
--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -47,6 +47,8 @@
         Prints a line of the timeline.
     burst_factors : list of float
         Load factors of the bursts in progress.
+    unanswered_shares : list of float
+        Shares of unanswered orders of the faults in progress.
     """
 
     cluster: object
@@ -56,6 +58,7 @@
     clock: object
     print_line: object
     burst_factors: list = field(factory=list)
+    unanswered_shares: list = field(factory=list)
 
     async def run(self, faults):
         """Start each fault at its time and wait until all have ended."""
@@ -243,13 +246,20 @@
             worker.fault = ""
 
     async def do_unanswered(self, fault):
-        """Let all workers leave a share of the orders unanswered, and carry them out late."""
-        workers = self.cluster.workers.values()
-        for worker in workers:
-            worker.unanswered_share = fault.amount
+        """Let all workers leave a share of the orders unanswered, and carry them out late.
+
+        The largest share of overlapping faults applies.
+        """
+        self.unanswered_shares.append(fault.amount)
+        self.apply_unanswered_share()
         await asyncio.sleep(fault.duration_s)
-        for worker in workers:
-            worker.unanswered_share = 0.0
+        self.unanswered_shares.remove(fault.amount)
+        self.apply_unanswered_share()
+
+    def apply_unanswered_share(self):
+        """Set the share of unanswered orders of all workers."""
+        for worker in self.cluster.workers.values():
+            worker.unanswered_share = max(self.unanswered_shares, default=0.0)
 
     do_fail = do_hang = do_late = do_mute = do_shed = set_worker_fault
 
--- a/onyxfork/workload/soak/profiles.py
+++ b/onyxfork/workload/soak/profiles.py
@@ -1,6 +1,6 @@
 """Profiles of soaks: the number of processes, the workers, the load and the callers' behavior."""
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from onyxfork.errors import SettingsError
 from onyxfork.workload.soak.schedule import SoakSize
@@ -89,6 +89,14 @@
         rates, names = (2.9, 0.5, 8.4), ("notice-check", "issue-proof", "roll-lookup")
         return cls("small", SoakSize(), make_kinds(names, rates, 3100, (CALLER_TIMEOUT_S,) * 3))
 
+    @classmethod
+    def long_runs(cls):
+        """Return a profile whose runs mostly outlast the delay after which callers send again."""
+        names = "notice-check", "issue-proof", "roll-lookup"
+        kinds = make_kinds(names, (1.0, 3.6, 2.0), 3100, (CALLER_TIMEOUT_S,) * 3)
+        kinds = kinds[0], evolve(kinds[1], run_ms=2300), kinds[2]
+        return cls("long-runs", SoakSize(), kinds, max_attempts=4)
+
     @classmethod
     def four_zones(cls):
         """Return a profile with an entry in each of four zones, and workers near capacity."""
@@ -143,7 +151,14 @@
         )
 
 
-PROFILE_NAMES = "small", "four-zones", "large-workers", "small-workers", "many-workers"
+PROFILE_NAMES = (
+    "small",
+    "long-runs",
+    "four-zones",
+    "large-workers",
+    "small-workers",
+    "many-workers",
+)
 
 USUAL_RATES = 17.2, 3.1, 50.0
 """Jobs a second of the three kinds, which use about 70 % of eleven workers."""
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -109,8 +109,11 @@
 """Mean time between two periods in which workers leave orders unanswered, and their shares: that of
 the users' deployments, the platform's default, and one at which long series of orders are lost."""
 
-MAX_RESETS = 3
-"""Upper bound on the resets of callers' connections in such a period."""
+UNANSWERED_S = 4.0, 7.0
+"""Bounds on the duration of such a period: several times the delay after which callers return."""
+
+MIN_RESETS, MAX_RESETS = 2, 5
+"""Resets of callers' connections in such a period."""
 
 SILENCE_S = 0.7
 """Silence of an entry after which an agent closes the connection."""
@@ -453,10 +456,10 @@
     """Draw periods in which workers leave orders unanswered and callers' connections are reset."""
     faults, at_s = [], WARM_UP_S
     while (at_s := at_s + rng.expovariate(1 / MEAN_UNANSWERED_INTERVAL_S)) < seconds:
-        fault = Fault(at_s, "unanswered", duration_s=rng.uniform(2.0, MAX_FAULT_S))
+        fault = Fault(at_s, "unanswered", duration_s=rng.uniform(*UNANSWERED_S))
         fault.amount = rng.choice(UNANSWERED_SHARES)
         faults.append(fault)
-        for _ in range(rng.randint(1, MAX_RESETS)):
+        for _ in range(rng.randint(MIN_RESETS, MAX_RESETS)):
             reset_at_s = rng.uniform(at_s, fault.ends_at_s)
             faults.append(Fault(reset_at_s, "reset_callers", rng.choice(size.names("entry"))))
     return faults
