--- a/onyxfork/platform/standin/calls.py
+++ b/onyxfork/platform/standin/calls.py
@@ -14,6 +14,7 @@
     "encode_configuration",
     "encode_job",
     "entry_settings",
+    "machine_limits",
     "evacuation_path",
     "job_path",
     "make_invalid_configurations",
@@ -123,7 +124,7 @@
     ]
 
 
-def encode_settings(fields, listen, bounds, tolerated_losses, zones=()):
+def encode_settings(fields, listen, bounds, tolerated_losses, zones=(), limits=None):
     """Return the content of a settings file in TOML.
 
     Parameters
@@ -138,16 +139,25 @@
         How many control instances may lose their disks at the same time.
     zones : iterable of str
         Availability zones that operators may evacuate.
+    limits : dict of str to int, optional
+        Limits of the machine, such as its memory.
     """
     lines = [f"{key} = {json.dumps(value)}" for key, value in fields.items()]
     lines += ["[listen]"] + [f"{key} = {json.dumps(value)}" for key, value in listen.items()]
     lines += ["[bounds]"] + [f"{key} = {json.dumps(value)}" for key, value in bounds.items()]
     lines += ["[faultTolerance]", f"machines = {tolerated_losses}"]
+    if limits:
+        lines += ["[limits]"] + [f"{key} = {json.dumps(value)}" for key, value in limits.items()]
     if zones:
         lines += ["[zones]"] + [f'{json.dumps(zone)} = "region-1"' for zone in zones]
     return "\n".join(lines) + "\n"
 
 
+def machine_limits(memory_mb, descriptors):
+    """Return the settings fields with the limits of a machine."""
+    return {"memoryMb": memory_mb, "maxFds": descriptors}
+
+
 def node_settings(node, zone, ip, ports, seeds, bootstrap):
     """Return the top-level settings fields that all roles share."""
     return {
@@ -160,21 +170,23 @@
     }
 
 
-def entry_settings(fields, callers, readiness, grace_s):
+def entry_settings(fields, callers, readiness, grace_s, limits=None):
     """Return the content of an entry's settings file."""
     listen = {"front": str(callers), "ready": str(readiness)}
-    return encode_settings(fields, listen, {"graceS": grace_s}, 1)
+    return encode_settings(fields, listen, {"graceS": grace_s}, 1, limits=limits)
 
 
-def agent_settings(fields, reports, worker, service, grace_s):
+def agent_settings(fields, reports, worker, service, grace_s, limits=None):
     """Return the content of an agent's settings file."""
     fields = {**fields, "app": str(worker), "service": service}
-    return encode_settings(fields, {"control": str(reports)}, {"graceS": grace_s}, 1)
+    return encode_settings(fields, {"control": str(reports)}, {"graceS": grace_s}, 1, limits=limits)
 
 
-def control_settings(fields, operators, data_folder, grace_s, tolerated_losses, zones=()):
+def control_settings(
+    fields, operators, data_folder, grace_s, tolerated_losses, zones=(), limits=None
+):
     """Return the content of a control instance's settings file."""
     fields = {**fields, "dataDir": str(data_folder)}
     return encode_settings(
-        fields, {"control": str(operators)}, {"graceS": grace_s}, tolerated_losses, zones
+        fields, {"control": str(operators)}, {"graceS": grace_s}, tolerated_losses, zones, limits
     )
