Apply the limits on a request while it arrives

Cause: entries ended for want of memory while clients sent bodies far over the limit, announced or not, and bodies in chunks of a few bytes. The configuration's limit on a body was checked once the body was complete, until then 4 MiB applied; an announced length was not looked at; each chunk was an object of its own; every header field was kept. Change: http_reader.py parses the requests of a connection in pieces and refuses one as soon as it exceeds the limits in force at its beginning: 413 for an announced length before the body, 431 also for chunk extensions and trailers. A body is one buffer, and of a header only the fields that are used are kept. The rest of a refused request is discarded for a second before the connection is closed, so that the client can read the response.

--- a/onyxfork/platform/callers.py
+++ b/onyxfork/platform/callers.py
@@ -3,10 +3,11 @@
 import logging
 import math
 
-from onyxfork.direct.configuration import QueueTable, RequestLimits
+from onyxfork.direct.configuration import QueueTable
 from onyxfork.direct.requests import CANCELLED, COMPLETED, FAILED, REFUSED
 from onyxfork.platform.configuration import decode_configuration
 from onyxfork.platform.http import Response, json_response
+from onyxfork.platform.http_reader import DEFAULT_LIMITS
 from onyxfork.platform.jobs import UNSUPPORTED, decode_job, is_job_id
 
 __all__ = ["CallerHandler"]
@@ -32,7 +33,7 @@
     def __init__(self, entry):
         self.entry = entry
         self.queue_table = None
-        self.limits = RequestLimits()
+        self.limits = DEFAULT_LIMITS
         entry.control.document_listeners.append(self.apply_document)
 
     def apply_document(self, document):
@@ -50,6 +51,10 @@
         self.queue_table = QueueTable(decoded.ok_value.queues)
         self.limits = decoded.ok_value.limits
 
+    def read_limits(self):
+        """Return the limits on callers' requests."""
+        return self.limits
+
     async def handle_ready(self, _):
         """Respond to a readiness check: 200 if the entry accepts new connections, 503 if not."""
         return Response(200 if self.entry.is_ready else 503)
--- a/onyxfork/platform/http.py
+++ b/onyxfork/platform/http.py
@@ -5,25 +5,19 @@
 """
 
 import asyncio
-import json
 import logging
 from collections import deque
 from contextlib import asynccontextmanager
-from http import HTTPStatus
 
-import httptools
 from attrs import define, field
 
+from onyxfork.platform.http_messages import Headers, Request, Response, json_response
+from onyxfork.platform.http_reader import DEFAULT_LIMITS, RequestError, RequestReader
+
 __all__ = ["Headers", "Request", "Response", "run_server", "json_response"]
 
 log = logging.getLogger(__name__)
 
-MAX_HEADER_BYTES = 16384
-"""Upper bound on the request line and headers of one request."""
-
-MAX_BODY_BYTES = 4 * 2**20
-"""Upper bound on a body; handlers may set a lower one."""
-
 MAX_PIPELINED = 16
 """Upper bound on the requests of a connection that wait for the handler; reading pauses above."""
 
@@ -33,91 +27,10 @@
 SHUTDOWN_TIMEOUT_S = 0.3
 """How long a stopping server waits for handlers."""
 
-REASONS = {status.value: status.phrase for status in HTTPStatus}
-
-
-class Headers(dict):
-    """Header fields; names are compared without regard to case."""
-
-    def __getitem__(self, name):
-        return super().__getitem__(name.lower())
-
-    def get(self, name, default=None):
-        """Return the value of a field, or `default` if it is absent."""
-        return super().get(name.lower(), default)
-
-
-@define(slots=True)
-class Request:
-    """A complete request.
-
-    Parameters
-    ----------
-    method : str
-    path : str
-        Without the query.
-    headers : Headers
-    body : bytes
-    keep_alive : bool
-        Whether the client keeps the connection open.
-    transport : asyncio.Transport or None
-        The client's connection.
-    """
-
-    method: str
-    path: str
-    headers: Headers
-    body: bytes = b""
-    keep_alive: bool = True
-    transport: object = None
-
-
-@define(slots=True)
-class Response:
-    """A response.
-
-    Parameters
-    ----------
-    status : int
-    body : bytes
-    content_type : str
-    headers : dict
-        Further header fields.
-    close : bool
-        Whether the connection is closed afterwards.
-    """
-
-    status: int = 200
-    body: bytes = b""
-    content_type: str = "application/json"
-    headers: dict = field(factory=dict)
-    close: bool = False
-
-    def encode(self, is_head=False):
-        """Return the bytes of the response; without the body in reply to a HEAD request."""
-        lines = [
-            f"HTTP/1.1 {self.status} {REASONS.get(self.status, '')}",
-            f"Content-Type: {self.content_type}",
-            f"Content-Length: {len(self.body)}",
-            *(f"{name}: {value}" for name, value in self.headers.items()),
-        ]
-        if self.close:
-            lines.append("Connection: close")
-        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-        return head if is_head else head + self.body
-
-
-def json_response(status, body, headers=None):
-    """Return a response with a JSON body."""
-    return Response(status, json.dumps(body).encode(), headers=headers or {})
-
-
-class RequestError(Exception):
-    """A request that is refused before it reaches the handler; `status` is that of the response."""
-
-    def __init__(self, status, reason):
-        super().__init__(reason)
-        self.status = status
+DISCARD_TIMEOUT_S, MAX_DISCARDED_BYTES = 1.0, 8 * 2**20
+"""How long, and up to how many bytes, the rest of a refused request is discarded before its
+connection is closed. A connection that is closed with unread bytes is reset, and the client loses
+the response."""
 
 
 class ServerConnection(asyncio.Protocol):
@@ -129,8 +42,10 @@
 
     Attributes
     ----------
-    waiting : deque of Request
-        Complete requests that the handler has not taken yet.
+    reader : RequestReader
+    waiting : deque of Request or Response
+        Complete requests that the handler has not taken yet, then the response to one that was
+        refused.
     handler_task : asyncio.Task or None
         Handles the waiting requests; cancelled when the client disconnects.
     """
@@ -139,25 +54,26 @@
         self.server = server
         self.loop = asyncio.get_running_loop()
         self.transport = None
-        self.parser = httptools.HttpRequestParser(self)
+        self.reader = RequestReader(server.read_limits, self.enqueue, self.confirm_expectation)
         self.waiting = deque()
         self.handler_task = None
         self.timer = None
         self.can_write = asyncio.Event()
         self.can_write.set()
         self.is_refusing = False
-        self.start_request()
+        self.discarded_bytes = 0
 
     # Transport
 
     def connection_made(self, transport):
         self.transport = transport
         self.server.connections.add(self)
-        self.set_timer(self.server.idle_timeout_s)
+        self.set_timer(self.server.read_limits().idle_timeout_s)
 
     def connection_lost(self, error):
         self.server.connections.discard(self)
         self.timer.cancel()
+        self.reader.close()
         if self.handler_task is not None:
             self.handler_task.cancel()
 
@@ -169,23 +85,24 @@
 
     def data_received(self, data):
         if self.is_refusing:
+            self.discard(data)
             return
+        was_in_request = self.reader.is_in_request
         try:
-            self.parser.feed_data(data)
-            if not self.headers_complete:
-                self.header_bytes += len(data)
-                if self.header_bytes > MAX_HEADER_BYTES:
-                    raise RequestError(431, f"request header over {MAX_HEADER_BYTES} bytes")
-        except httptools.HttpParserUpgrade:
-            self.refuse(400, "upgrades are not supported")
-        except httptools.HttpParserError as error:
-            cause = error.__context__
-            if isinstance(cause, RequestError):
-                self.refuse(cause.status, str(cause))
-            else:
-                self.refuse(400, f"malformed request: {error}")
+            self.reader.feed(memoryview(data))
         except RequestError as error:
             self.refuse(error.status, str(error))
+            return
+        if self.reader.is_in_request and not was_in_request:
+            self.set_timer(REQUEST_TIMEOUT_S)
+        elif was_in_request and not self.reader.is_in_request:
+            self.set_timer(self.reader.limits.idle_timeout_s)
+
+    def discard(self, data):
+        """Ignore bytes that follow a refused request."""
+        self.discarded_bytes += len(data)
+        if self.discarded_bytes > MAX_DISCARDED_BYTES:
+            self.transport.abort()
 
     def set_timer(self, seconds):
         """Close the connection after a time without progress, replacing an earlier timer."""
@@ -198,7 +115,7 @@
         if self.handler_task is None:
             self.transport.close()
         else:
-            self.set_timer(self.server.idle_timeout_s)
+            self.set_timer(self.reader.limits.idle_timeout_s)
 
     def refuse(self, status, reason):
         """Respond to a request that cannot be parsed, after the complete ones, and close."""
@@ -208,63 +125,16 @@
         response.close = True
         self.enqueue(response)
 
-    # Callbacks of the parser
-
-    def start_request(self):
-        """Prepare for the next request."""
-        self.url = b""
-        self.headers = Headers()
-        self.chunks = []
-        self.body_bytes = 0
-        self.header_bytes = self.parsed_header_bytes = 0
-        self.headers_complete = False
-
-    def on_message_begin(self):
-        self.start_request()
-        self.set_timer(REQUEST_TIMEOUT_S)
-
-    def on_url(self, url):
-        self.url += url
-        self.count_header_bytes(len(url))
-
-    def count_header_bytes(self, size):
-        """Refuse a request whose parsed header fields exceed `MAX_HEADER_BYTES`."""
-        self.parsed_header_bytes += size
-        if self.parsed_header_bytes > MAX_HEADER_BYTES:
-            raise RequestError(431, f"request header over {MAX_HEADER_BYTES} bytes")
-
-    def on_header(self, name, value):
-        self.count_header_bytes(len(name) + len(value))
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-
-    def on_headers_complete(self):
-        self.headers_complete = True
-        if self.headers.get("expect", "").lower() == "100-continue":
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, chunk):
-        self.body_bytes += len(chunk)
-        if self.body_bytes > MAX_BODY_BYTES:
-            raise RequestError(413, f"body over {MAX_BODY_BYTES} bytes")
-        self.chunks.append(chunk)
-
-    def on_message_complete(self):
-        path = httptools.parse_url(self.url).path or b"/"
-        request = Request(
-            self.parser.get_method().decode("latin-1"),
-            path.decode("latin-1"),
-            self.headers,
-            b"".join(self.chunks),
-            self.parser.should_keep_alive(),
-            self.transport,
-        )
-        self.set_timer(self.server.idle_timeout_s)
-        self.enqueue(request)
+    def confirm_expectation(self):
+        """Tell a client that waits before it sends the body to go on."""
+        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     # Requests
 
     def enqueue(self, item):
         """Add a request, or the response to one that was refused, to those to be handled."""
+        if isinstance(item, Request):
+            item.transport = self.transport
         self.waiting.append(item)
         if len(self.waiting) >= MAX_PIPELINED:
             self.transport.pause_reading()
@@ -278,17 +148,26 @@
                 item = self.waiting.popleft()
                 if len(self.waiting) == MAX_PIPELINED - 1:
                     self.transport.resume_reading()
-                is_request = isinstance(item, Request)
-                response = await self.call_handler(item) if is_request else item
-                if is_request and not (item.keep_alive and self.server.is_open):
+                if isinstance(item, Response):
+                    self.transport.write(item.encode())
+                    self.discard_rest()
+                    return
+                response = await self.call_handler(item)
+                if not (item.keep_alive and self.server.is_open):
                     response.close = True
-                self.transport.write(response.encode(is_request and item.method == "HEAD"))
+                self.transport.write(response.encode(item.method == "HEAD"))
                 if response.close:
                     self.transport.close()
                 await self.can_write.wait()
         finally:
             self.handler_task = None
 
+    def discard_rest(self):
+        """Close the connection after a refusal once the client has been able to read it."""
+        self.transport.resume_reading()
+        self.transport.write_eof()
+        self.set_timer(DISCARD_TIMEOUT_S)
+
     async def call_handler(self, request):
         """Return the handler's response, or 500 if it fails."""
         try:
@@ -305,20 +184,21 @@
     Parameters
     ----------
     handler : coroutine function
-    idle_timeout_s : float
+    read_limits : callable
+        Returns the `RequestLimits` in force.
     connections : set of ServerConnection
     is_open : bool
         False once the server is stopping.
     """
 
     handler: object
-    idle_timeout_s: float
+    read_limits: object
     connections: set = field(factory=set)
     is_open: bool = True
 
 
 @asynccontextmanager
-async def run_server(handler, address, idle_timeout_s=60.0, backlog=512):
+async def run_server(handler, address, read_limits=lambda: DEFAULT_LIMITS, backlog=512):
     """Serve HTTP requests with a handler while the context is open.
 
     The handler of a request is cancelled when its client disconnects.
@@ -329,12 +209,12 @@
         Takes a `Request` and returns a `Response`.
     address : Address
         Where to listen.
-    idle_timeout_s : float
-        How long a connection may stay open without a request.
+    read_limits : callable
+        Returns the `RequestLimits` in force.
     backlog : int
         How many connections may wait to be accepted.
     """
-    state = ServerState(handler, idle_timeout_s)
+    state = ServerState(handler, read_limits)
     loop = asyncio.get_running_loop()
     server = await loop.create_server(
         lambda: ServerConnection(state), address.host, address.port, backlog=backlog
--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -58,7 +58,7 @@
     async with (
         run_entry(entry),
         run_server(callers.handle_ready, settings.readiness),
-        run_server(callers.handle, settings.callers),
+        run_server(callers.handle, settings.callers, callers.read_limits),
     ):
         yield reload, entry.stop
 
--- a/tests/platform/test_http_protocol.py
+++ b/tests/platform/test_http_protocol.py
@@ -5,12 +5,15 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from attrs import evolve
 
 from onyxfork.addresses import Address
-from onyxfork.platform.http import MAX_HEADER_BYTES, Response, run_server
+from onyxfork.platform.http import Response, run_server
 from onyxfork.platform.http_client import open_pool
+from onyxfork.platform.http_reader import DEFAULT_LIMITS
 
 TIMEOUT_S = 10.0
+MAX_HEADER_BYTES = DEFAULT_LIMITS.header_bytes
 
 
 def free_address():
@@ -114,7 +117,8 @@
 
 
 async def test_idle_connection_is_closed():
-    async with raw_connection(idle_timeout_s=0.05) as (reader, _):
+    limits = evolve(DEFAULT_LIMITS, idle_timeout_s=0.05)
+    async with raw_connection(read_limits=lambda: limits) as (reader, _):
         async with asyncio.timeout(TIMEOUT_S):
             assert await reader.read() == b""
 
--- /dev/null
+++ b/tests/platform/test_http_reader.py
@@ -0,0 +1,74 @@
+"""Limits on a request hold while it arrives, and little of its header is kept."""
+
+import pytest
+from attrs import evolve
+
+from onyxfork.platform.http_reader import DEFAULT_LIMITS, RequestError, RequestReader
+
+LIMITS = evolve(DEFAULT_LIMITS, header_bytes=1000, body_bytes=500)
+POST = b"POST /a HTTP/1.1\r\nHost: h\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def read(data, size=None, limits=LIMITS):
+    """Feed data in pieces of a size; return the requests and the reader."""
+    requests = []
+    reader = RequestReader(lambda: limits, requests.append, lambda: None)
+    size = size or len(data)
+    for start in range(0, len(data), size):
+        reader.feed(memoryview(data)[start : start + size])
+    return requests, reader
+
+
+@pytest.mark.parametrize("size", [1, 7, 512, None])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (POST + b"Content-Length: 501\r\n\r\n", 413),
+        (POST + b"Content-Length: 00000501\r\n\r\n", 413),
+        (POST + b"Content-Length: " + b"9" * 18 + b"\r\nExpect: 100-continue\r\n\r\n", 413),
+        (POST + b"Content-Length: " + b"9" * 900 + b"\r\n\r\n", 400),
+        (CHUNKED + b"1f5\r\n" + b"x" * 501, 413),
+        (CHUNKED + b"1\r\nx\r\n" * 501, 413),
+        (CHUNKED + b"1;" + b"e" * 2000, 431),
+        (CHUNKED + b"0\r\nt: " + b"x" * 2000, 431),
+        (CHUNKED + b"0\r\n" + b"t: x\r\n" * 400, 431),
+        (POST + b"a:\r\n" * 300, 431),
+        (POST + b"a: " + b"x" * 1000, 431),
+        (b"GET /" + b"x" * 1000, 431),
+        (b"GET \x7f HTTP/1.1\r\n\r\n", 400),
+    ],
+)
+def test_request_over_a_limit_is_refused_while_it_arrives(data, status, size):
+    with pytest.raises(RequestError) as caught:
+        read(data, size)
+    assert caught.value.status == status
+
+
+@pytest.mark.parametrize("size", [1, 7, 512, None])
+def test_requests_at_the_limits_are_read(size):
+    trailers = b"0\r\n" + b"t: x\r\n" * 100 + b"\r\n"
+    chunked = CHUNKED + b"1\r\nx\r\n" * 500 + trailers
+    lines = POST + b"a:\r\n" * ((1000 - len(POST) - 2) // 4) + b"\r\n"
+    with_length = POST + b"Content-Length: 500\r\n\r\n" + b"x" * 500
+    requests, reader = read((chunked + lines + with_length) * 2, size)
+    assert [len(request.body) for request in requests] == [500, 0, 500] * 2
+    assert not reader.is_in_request
+
+
+def test_only_used_fields_of_the_header_are_kept():
+    data = POST + b"A: 1\r\nX-Deadline: 7\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nHost: t\r\n\r\n"
+    (request,), _ = read(data)
+    assert request.headers == {"host": "h", "x-deadline": "7"}
+
+
+def test_limits_of_a_request_are_those_at_its_beginning():
+    limits, requests = [LIMITS], []
+    reader = RequestReader(lambda: limits[0], requests.append, lambda: None)
+    request = POST + b"Content-Length: 2\r\n\r\nxx"
+    reader.feed(memoryview(request[:10]))
+    limits[0] = evolve(LIMITS, body_bytes=1)
+    reader.feed(memoryview(request[10:]))
+    assert [item.body for item in requests] == [b"xx"]
+    with pytest.raises(RequestError):
+        reader.feed(memoryview(request))
