Bound the memory that clients' connections hold together

Cause: entries, agents and control instances ended for want of memory while many clients held bodies of legal size that stopped just short of their end: nothing bounded a process as a whole. The kernel's receive buffers and reads of up to 256 KiB came on top. Change: connection_budget.py keeps what all connections of a process hold and, beyond a quarter of the machine's memory (maxHeldMb), closes those that hold most for longest without an end; a request that is being handled goes last. An incomplete request is answered 503 with Retry-After and never runs. Receive buffers have 16 KiB, and one buffer of 16 KiB serves all reads. Gauges, a counter, one line a second at most.

--- a/onyxfork/logs.py
+++ b/onyxfork/logs.py
@@ -11,7 +11,7 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["start_logging", "start_rate_limited_logging", "RateLimitedHandler"]
+__all__ = ["BoundedLine", "RateLimitedHandler", "start_logging", "start_rate_limited_logging"]
 
 MAX_LINES_PER_S = 200
 """Bounds the log volume; above the rate at which an entry answers at a deployment's peak load."""
@@ -77,6 +77,37 @@
         return True
 
 
+class BoundedLine:
+    """A line that is logged at most once in an interval; the others are counted.
+
+    Parameters
+    ----------
+    logger : logging.Logger
+    message : str
+    interval_s : float
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, logger, message, interval_s=1.0, clock=time.monotonic):
+        self.logger = logger
+        self.message = message
+        self.interval_s = interval_s
+        self.clock = clock
+        self.written_at = None
+        self.left_out = 0
+
+    def write(self, **fields):
+        """Log the line, or count it for the next one's field ``left_out``."""
+        now = self.clock()
+        if self.written_at is not None and now - self.written_at < self.interval_s:
+            self.left_out += 1
+            return
+        self.written_at = now
+        self.logger.info(self.message, extra={**fields, "left_out": self.left_out})
+        self.left_out = 0
+
+
 def make_formatter(role, node, zone, incarnation=""):
     """Return a JSON formatter that adds the process's role, node and zone to each line.
 
--- a/onyxfork/platform/http.py
+++ b/onyxfork/platform/http.py
@@ -6,11 +6,14 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
 from contextlib import asynccontextmanager
 
 from attrs import define, field
 
+from onyxfork.direct.connection_budget import BudgetedConnection, ConnectionBudget
+from onyxfork.logs import BoundedLine
 from onyxfork.platform.http_messages import Headers, Request, Response, json_response
 from onyxfork.platform.http_reader import DEFAULT_LIMITS, RequestError, RequestReader
 
@@ -33,7 +36,25 @@
 the response."""
 
 
-class ServerConnection(asyncio.Protocol):
+DEFAULT_BUDGET_BYTES = 64 * 2**20
+"""Budget of a server that is given none."""
+
+CONNECTION_BYTES, REQUEST_BYTES = 5120, 1024
+"""What a connection, and a request apart from its body, take in memory."""
+
+EVICTED = json_response(503, {"error": "too much is held by clients"}, {"Retry-After": "1"})
+EVICTED.close = True
+"""Response to a request that was not complete when its connection was closed to free memory."""
+
+
+READ_BYTES = 16384
+"""Upper bound on the bytes of one read."""
+
+RECEIVE_BUFFER_BYTES = 16384
+"""Size of the kernel's buffer for bytes of a connection that are not read yet."""
+
+
+class ServerConnection(BudgetedConnection, asyncio.BufferedProtocol):
     """One client's connection.
 
     Parameters
@@ -46,6 +67,8 @@
     waiting : deque of Request or Response
         Complete requests that the handler has not taken yet, then the response to one that was
         refused.
+    queued_bytes : int
+        What the requests hold that are complete and not answered yet.
     handler_task : asyncio.Task or None
         Handles the waiting requests; cancelled when the client disconnects.
     """
@@ -62,16 +85,20 @@
         self.can_write.set()
         self.is_refusing = False
         self.discarded_bytes = 0
+        self.queued_bytes = 0
 
     # Transport
 
     def connection_made(self, transport):
         self.transport = transport
         self.server.connections.add(self)
+        self.server.budget.add(self)
+        self.update_held_bytes()
         self.set_timer(self.server.read_limits().idle_timeout_s)
 
     def connection_lost(self, error):
         self.server.connections.discard(self)
+        self.server.budget.remove(self)
         self.timer.cancel()
         self.reader.close()
         if self.handler_task is not None:
@@ -83,24 +110,49 @@
     def resume_writing(self):
         self.can_write.set()
 
-    def data_received(self, data):
+    def get_buffer(self, _):
+        return self.server.read_buffer
+
+    def buffer_updated(self, size):
         if self.is_refusing:
-            self.discard(data)
+            self.discard(size)
             return
         was_in_request = self.reader.is_in_request
         try:
-            self.reader.feed(memoryview(data))
+            self.reader.feed(self.server.read_buffer[:size])
         except RequestError as error:
             self.refuse(error.status, str(error))
             return
+        self.update_held_bytes()
         if self.reader.is_in_request and not was_in_request:
             self.set_timer(REQUEST_TIMEOUT_S)
         elif was_in_request and not self.reader.is_in_request:
             self.set_timer(self.reader.limits.idle_timeout_s)
 
-    def discard(self, data):
+    def update_held_bytes(self):
+        """Record what the connection holds in the budget of the process."""
+        unsent_bytes = 0 if self.can_write.is_set() else self.transport.get_write_buffer_size()
+        received_bytes = self.reader.held_bytes + self.queued_bytes
+        self.server.budget.hold(self, CONNECTION_BYTES + received_bytes + unsent_bytes)
+
+    def evict(self):
+        """Release what is held and close the connection.
+
+        A client whose request is incomplete is told that it has not run.
+        """
+        is_incomplete = self.reader.is_in_request and not self.is_busy
+        self.is_refusing = True
+        self.reader.close()
+        self.waiting.clear()
+        if is_incomplete and self.can_write.is_set():
+            self.transport.write(EVICTED.encode())
+            self.transport.close()
+        else:
+            self.transport.abort()
+
+    def discard(self, size):
         """Ignore bytes that follow a refused request."""
-        self.discarded_bytes += len(data)
+        self.discarded_bytes += size
         if self.discarded_bytes > MAX_DISCARDED_BYTES:
             self.transport.abort()
 
@@ -119,8 +171,10 @@
 
     def refuse(self, status, reason):
         """Respond to a request that cannot be parsed, after the complete ones, and close."""
-        log.info("request refused", extra={"status": status, "reason": reason})
+        self.server.refusal_line.write(status=status, reason=reason)
         self.is_refusing = True
+        self.reader.close()
+        self.update_held_bytes()
         response = json_response(status, {"error": reason})
         response.close = True
         self.enqueue(response)
@@ -135,6 +189,7 @@
         """Add a request, or the response to one that was refused, to those to be handled."""
         if isinstance(item, Request):
             item.transport = self.transport
+            self.queued_bytes += REQUEST_BYTES + len(item.body)
         self.waiting.append(item)
         if len(self.waiting) >= MAX_PIPELINED:
             self.transport.pause_reading()
@@ -152,16 +207,27 @@
                     self.transport.write(item.encode())
                     self.discard_rest()
                     return
+                self.is_busy = True
                 response = await self.call_handler(item)
+                self.finish_request(item)
                 if not (item.keep_alive and self.server.is_open):
                     response.close = True
                 self.transport.write(response.encode(item.method == "HEAD"))
                 if response.close:
                     self.transport.close()
-                await self.can_write.wait()
+                if not self.can_write.is_set():
+                    self.update_held_bytes()
+                    await self.can_write.wait()
+                self.update_held_bytes()
         finally:
             self.handler_task = None
 
+    def finish_request(self, request):
+        """Record that a request was handled."""
+        self.is_busy = False
+        self.unfinished_since = self.loop.time()
+        self.queued_bytes -= REQUEST_BYTES + len(request.body)
+
     def discard_rest(self):
         """Close the connection after a refusal once the client has been able to read it."""
         self.transport.resume_reading()
@@ -186,19 +252,28 @@
     handler : coroutine function
     read_limits : callable
         Returns the `RequestLimits` in force.
+    budget : ConnectionBudget
     connections : set of ServerConnection
     is_open : bool
         False once the server is stopping.
+    refusal_line : BoundedLine
+    read_buffer : memoryview
+        Receives the bytes of one read, which are parsed before the next one.
     """
 
     handler: object
     read_limits: object
+    budget: ConnectionBudget
     connections: set = field(factory=set)
     is_open: bool = True
+    refusal_line: BoundedLine = field(factory=lambda: BoundedLine(log, "request refused"))
+    read_buffer: memoryview = field(factory=lambda: memoryview(bytearray(READ_BYTES)))
 
 
 @asynccontextmanager
-async def run_server(handler, address, read_limits=lambda: DEFAULT_LIMITS, backlog=512):
+async def run_server(
+    handler, address, read_limits=lambda: DEFAULT_LIMITS, budget=None, backlog=512
+):
     """Serve HTTP requests with a handler while the context is open.
 
     The handler of a request is cancelled when its client disconnects.
@@ -211,13 +286,18 @@
         Where to listen.
     read_limits : callable
         Returns the `RequestLimits` in force.
+    budget : ConnectionBudget, optional
+        Shared by the servers of a process; of the default size if omitted.
     backlog : int
         How many connections may wait to be accepted.
     """
-    state = ServerState(handler, read_limits)
+    state = ServerState(handler, read_limits, budget or ConnectionBudget(DEFAULT_BUDGET_BYTES))
     loop = asyncio.get_running_loop()
+    listener = socket.create_server(address.host_and_port, backlog=backlog)
+    # Accepted connections inherit the size.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     server = await loop.create_server(
-        lambda: ServerConnection(state), address.host, address.port, backlog=backlog
+        lambda: ServerConnection(state), sock=listener, backlog=backlog
     )
     try:
         yield server
--- a/onyxfork/platform/http_reader.py
+++ b/onyxfork/platform/http_reader.py
@@ -81,6 +81,11 @@
         self.start_request(is_in_request=False)
         self.parser = self.on_request = self.on_expect_continue = None
 
+    @property
+    def held_bytes(self):
+        """Bytes of the request that arrives, in this reader or in the parser."""
+        return self.header_bytes + len(self.body) + self.overhead_bytes
+
     def feed(self, data):
         """Parse bytes that have arrived.
 
--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -10,6 +10,7 @@
 from contextlib import asynccontextmanager
 
 from onyxfork.addresses import Address
+from onyxfork.direct.connection_budget import ConnectionBudget
 from onyxfork.direct.telemetry import Telemetry
 from onyxfork.errors import OnyxforkError, SettingsError
 from onyxfork.logs import start_rate_limited_logging
@@ -39,7 +40,7 @@
 
 
 @asynccontextmanager
-async def run_entry_program(settings, telemetry):
+async def run_entry_program(settings, telemetry, budget):
     """Run an entry while the context is open.
 
     Yields a function that takes the control instances from new settings, and a coroutine function
@@ -57,14 +58,14 @@
 
     async with (
         run_entry(entry),
-        run_server(callers.handle_ready, settings.readiness),
-        run_server(callers.handle, settings.callers, callers.read_limits),
+        run_server(callers.handle_ready, settings.readiness, budget=budget),
+        run_server(callers.handle, settings.callers, callers.read_limits, budget),
     ):
         yield reload, entry.stop
 
 
 @asynccontextmanager
-async def run_agent_program(settings, telemetry):
+async def run_agent_program(settings, telemetry, budget):
     """Run an agent while the context is open.
 
     Yields a function that takes the control instances from new settings, and a coroutine function
@@ -82,12 +83,13 @@
     async with open_worker_client(settings.worker) as client:
         agent = DirectAgent(own_settings, client, clock_for(own_settings.clock_file), telemetry)
         reports = ReportHandler(agent, settings.service)
-        async with run_agent(agent), run_server(reports.handle, settings.reports):
+        server = run_server(reports.handle, settings.reports, budget=budget)
+        async with run_agent(agent), server:
             yield reload, agent.stop
 
 
 @asynccontextmanager
-async def run_control_program(settings, telemetry):
+async def run_control_program(settings, telemetry, budget):
     """Run a control instance while the context is open.
 
     Yields a function that takes the control instances from new settings, and a coroutine function
@@ -118,7 +120,8 @@
         replica.zones = settings.zones
         async with run_replica(replica) as driver:
             driver.add_done_callback(exit_on_failure)
-            async with run_server(OperatorHandler(replica).handle, settings.reports):
+            operators = OperatorHandler(replica)
+            async with run_server(operators.handle, settings.reports, budget=budget):
                 yield reload, stop
 
 
@@ -136,7 +139,7 @@
 }
 
 
-async def serve_metrics(settings, telemetry, stopped):
+async def serve_metrics(settings, telemetry, budget, stopped):
     """Serve the process's metrics over HTTP until the event `stopped` is set."""
 
     async def handle(request):
@@ -146,7 +149,8 @@
         return Response(body=body, content_type=content_type)
 
     try:
-        async with run_server(handle, Address(settings.host, METRICS_PORT)):
+        address = Address(settings.host, METRICS_PORT)
+        async with run_server(handle, address, budget=budget):
             await stopped.wait()
     except OSError as error:
         log.warning("cannot serve metrics", extra={"reason": str(error)})
@@ -204,15 +208,16 @@
     settings = load_platform_settings()
     start_rate_limited_logging(role, settings.node, settings.zone, incarnation=settings.incarnation)
     telemetry = Telemetry(role, settings.node, settings.zone)
+    budget = ConnectionBudget(settings.max_held_bytes, telemetry)
     stop_requested, hangup = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, hangup.set)
-    async with PROGRAMS[role](settings, telemetry) as (reload, stop_program):
+    async with PROGRAMS[role](settings, telemetry, budget) as (reload, stop_program):
         log.info("started", extra={"host": settings.host, "seeds": settings.seeds})
         watch_task = asyncio.create_task(watch_settings(settings, reload, hangup))
         stopped = asyncio.Event()
-        metrics_task = asyncio.create_task(serve_metrics(settings, telemetry, stopped))
+        metrics_task = asyncio.create_task(serve_metrics(settings, telemetry, budget, stopped))
         # The start-up is over: exempt its objects from garbage collection, which `__main__` has
         # disabled until here.
         gc.freeze()
--- a/onyxfork/platform/settings.py
+++ b/onyxfork/platform/settings.py
@@ -43,6 +43,13 @@
 SIGKILL."""
 
 
+HELD_MEMORY_SHARE = 0.25
+"""Share of the machine's memory that client connections may hold."""
+
+MIN_HELD_MB = 1
+"""Lower bound on what client connections may hold, so that a request of any legal size fits."""
+
+
 @define(frozen=True)
 class PlatformSettings:
     """Decoded settings file.
@@ -78,6 +85,8 @@
         File with milliseconds to add to the time of day; empty for none.
     zones : dict of str to str
         Region of each availability zone that operators may evacuate.
+    max_held_bytes : int
+        Upper bound on what all client connections hold in memory.
     incarnation : str
         Identifies the process since its start, in its logs and, of an entry or agent, to its peers.
     """
@@ -100,6 +109,7 @@
     listen_host: str = ""
     clock_file: str = ""
     zones: dict = field(factory=dict)
+    max_held_bytes: int = 64 * 2**20
     incarnation: str = field(factory=make_incarnation, eq=False)
 
     def internal_address(self, port_offset, host=None):
@@ -187,9 +197,27 @@
     return zones
 
 
+def decode_max_held_bytes(data):
+    """Return the upper bound on what client connections hold, by default a share of the memory."""
+    machine = read_object(data.get("limits", {}), "limits")
+    own = read_object(data.get("onyxfork", {}), "onyxfork")
+    memory_mb = read_number(machine, "memoryMb", 0) or physical_memory_mb()
+    max_held_mb = read_number(own, "maxHeldMb", HELD_MEMORY_SHARE * memory_mb)
+    if max_held_mb < MIN_HELD_MB:
+        raise FieldError(f"maxHeldMb: expected at least {MIN_HELD_MB}, got {max_held_mb}")
+    return int(max_held_mb * 2**20)
+
+
+def physical_memory_mb():
+    """Return the memory of this machine."""
+    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / 2**20
+
+
 def decode_settings(data):
     """Return the `PlatformSettings` in a decoded TOML file.
 
+    The optional table ``onyxfork`` has this project's own fields.
+
     In the file, ``app`` is the worker, ``front`` the address for callers, ``hold`` a lease, and
     ``control`` under ``listen`` the address for the worker's reports or for operators.
 
@@ -221,6 +249,7 @@
         grace_s=read_number(bounds, "graceS", 6),
         tolerated_losses=read_integer(fault_tolerance, "machines", 1),
         zones=decode_zones(data),
+        max_held_bytes=decode_max_held_bytes(data),
     )
 
 
--- a/tests/platform/test_http_protocol.py
+++ b/tests/platform/test_http_protocol.py
@@ -1,6 +1,7 @@
 """The HTTP server and client on raw connections: malformed input, limits, order, reuse."""
 
 import asyncio
+import contextlib
 import socket
 from contextlib import asynccontextmanager
 
@@ -8,6 +9,7 @@
 from attrs import evolve
 
 from onyxfork.addresses import Address
+from onyxfork.direct.connection_budget import ConnectionBudget
 from onyxfork.platform.http import Response, run_server
 from onyxfork.platform.http_client import open_pool
 from onyxfork.platform.http_reader import DEFAULT_LIMITS
@@ -165,3 +167,38 @@
     with pytest.raises(OSError):
         async with open_pool(free_address(), 1) as pool:
             await pool.post("/", b"", {})
+
+
+async def test_unfinished_requests_are_closed_with_503_when_they_exceed_the_budget():
+    address, budget = free_address(), ConnectionBudget(120_000)
+    request = b"POST /a HTTP/1.1\r\nContent-Length: 50000\r\n\r\n" + b"x" * 40_000
+    async with run_server(echo, address, budget=budget), open_pool(address, 1) as pool:
+        clients = [await asyncio.open_connection(*address.host_and_port) for _ in range(3)]
+        for _, writer in clients:
+            writer.write(request)
+            await writer.drain()
+        statuses = []
+        for reader, _ in clients[:-1]:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(1.0):
+                    statuses.append((await read_response(reader))[:2])
+        assert [(status, fields["Retry-After"]) for status, fields in statuses] == [(503, "1")]
+        assert (await pool.post("/b", b"", {}))[0] == 200
+        clients[-1][1].write(b"x" * 10_000)
+        assert (await read_response(clients[-1][0]))[0] == 200
+        for _, writer in clients:
+            writer.close()
+    async with asyncio.timeout(TIMEOUT_S):
+        while budget.connections:
+            await asyncio.sleep(0.01)
+    assert budget.held_bytes == 0
+
+
+async def test_response_to_a_refused_request_is_read_by_a_client_that_sends_on():
+    async with raw_connection() as (reader, writer):
+        writer.write(b"POST / HTTP/1.1\r\nContent-Length: 9999999999\r\n\r\n")
+        for _ in range(20):
+            writer.write(b"x" * 100_000)
+            await writer.drain()
+        assert (await read_response(reader))[0] == 413
+        assert await reader.read() == b""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -71,3 +71,13 @@
 def test_missing_file_is_named(tmp_path):
     with pytest.raises(SettingsError, match="none.toml"):
         load_platform_settings(tmp_path / "none.toml")
+
+
+def test_memory_for_connections_is_a_share_of_the_machine_or_set(tmp_path):
+    machine = "[limits]\nmemoryMb = 300\n"
+    assert load(tmp_path, FILE + machine).max_held_bytes == 75 * 2**20
+    own = "[onyxfork]\nmaxHeldMb = 12.5\n"
+    assert load(tmp_path, FILE + machine + own).max_held_bytes == 12.5 * 2**20
+    assert load(tmp_path, FILE).max_held_bytes > 0
+    with pytest.raises(SettingsError, match="maxHeldMb"):
+        load(tmp_path, FILE + "[onyxfork]\nmaxHeldMb = 0\n")
