Bound the connections of each listener

Cause: while clients kept connections open, idle or in the middle of a header, entries used up their descriptors: no ordinary caller was accepted, and the process's own connections to agents and control failed. Nothing bounded the number of connections. Change: callers may have three quarters of the descriptors for sockets (maxConnections), clients of each other listener a sixteenth; the rest is the process's own. Beyond that the connection that has waited longest without a request in progress is closed; if all have one, the new one is answered 503.

--- a/onyxfork/direct/connection_budget.py
+++ b/onyxfork/direct/connection_budget.py
@@ -1,17 +1,18 @@
-"""Which connections are closed when clients hold more memory than a process has for them.
+"""Which connections are closed when clients hold more memory or descriptors than a process has.
 
-Load: many clients hold unfinished requests or unread responses, beside ordinary callers, whose
-requests arrive whole and hold little for a short time. Those that hold most for longest without an
-end are closed first.
+Load: many clients hold unfinished requests, unread responses or just their connections, beside
+ordinary callers, whose requests arrive whole and hold little for a short time. Those that hold most
+for longest without an end are closed first.
 """
 
 import logging
 import time
 from abc import ABC, abstractmethod
+from collections import OrderedDict
 
 from onyxfork.logs import BoundedLine
 
-__all__ = ["BudgetedConnection", "ConnectionBudget", "rank_connections"]
+__all__ = ["BudgetedConnection", "ConnectionBudget", "ConnectionLimit", "rank_connections"]
 
 log = logging.getLogger(__name__)
 
@@ -127,8 +128,65 @@
         self.line.write(**fields, connections=len(self.connections))
 
     def evict(self, connection, cause):
-        """Close one connection and count it."""
+        """Close one connection and count it; `cause` is what there is too little of."""
         self.remove(connection)
         connection.evict()
         if self.telemetry is not None:
             self.telemetry.count("connections_evicted", cause=cause)
+
+
+class ConnectionLimit:
+    """Upper bound on the connections of one listener.
+
+    Parameters
+    ----------
+    max_connections : int
+    budget : ConnectionBudget
+
+    Attributes
+    ----------
+    count : int
+        Connections that are open.
+    waiting : OrderedDict of BudgetedConnection to None
+        Those without a request that is being handled; the one that has waited longest comes first.
+    """
+
+    def __init__(self, max_connections, budget):
+        self.max_connections = max_connections
+        self.budget = budget
+        self.count = 0
+        self.waiting = OrderedDict()
+        self.line = BoundedLine(log, "connections closed to free descriptors")
+
+    def admit(self, connection):
+        """Count a new connection, and close the one that has waited longest if there are too many.
+
+        Returns
+        -------
+        bool
+            False if all connections have requests that are being handled: the new one has to be
+            closed.
+        """
+        self.count += 1
+        is_admitted = self.count <= self.max_connections or bool(self.waiting)
+        if self.count > self.max_connections:
+            if self.waiting:
+                self.budget.evict(self.waiting.popitem(last=False)[0], "descriptors")
+            self.line.write(connections=self.count, admitted=is_admitted)
+        if is_admitted:
+            self.waiting[connection] = None
+        return is_admitted
+
+    def set_busy(self, connection, is_busy):
+        """Record whether a complete request of a connection is with its handler."""
+        connection.is_busy = is_busy
+        if is_busy:
+            self.waiting.pop(connection, None)
+        else:
+            connection.unfinished_since = self.budget.clock()
+            self.waiting[connection] = None
+
+    def remove(self, connection):
+        """Stop counting a connection that is closed."""
+        self.count -= 1
+        self.waiting.pop(connection, None)
--- a/onyxfork/platform/http.py
+++ b/onyxfork/platform/http.py
@@ -12,7 +12,11 @@
 
 from attrs import define, field
 
-from onyxfork.direct.connection_budget import BudgetedConnection, ConnectionBudget
+from onyxfork.direct.connection_budget import (
+    BudgetedConnection,
+    ConnectionBudget,
+    ConnectionLimit,
+)
 from onyxfork.logs import BoundedLine
 from onyxfork.platform.http_messages import Headers, Request, Response, json_response
 from onyxfork.platform.http_reader import DEFAULT_LIMITS, RequestError, RequestReader
@@ -36,15 +40,21 @@
 the response."""
 
 
-DEFAULT_BUDGET_BYTES = 64 * 2**20
-"""Budget of a server that is given none."""
+DEFAULT_BUDGET_BYTES, DEFAULT_MAX_CONNECTIONS = 64 * 2**20, 1024
+"""Limits of a server that is given none."""
+
+MAX_ACCEPTS = 8
+"""Upper bound on the connections that are accepted in one turn of the event loop. They have their
+descriptors before it is known whether there are too many."""
 
 CONNECTION_BYTES, REQUEST_BYTES = 5120, 1024
 """What a connection, and a request apart from its body, take in memory."""
 
-EVICTED = json_response(503, {"error": "too much is held by clients"}, {"Retry-After": "1"})
-EVICTED.close = True
-"""Response to a request that was not complete when its connection was closed to free memory."""
+EVICTED = json_response(503, {"error": "clients hold too much"}, {"Retry-After": "1"})
+TOO_MANY = json_response(503, {"error": "too many connections"}, {"Retry-After": "1"})
+EVICTED.close = TOO_MANY.close = True
+"""Responses before a connection is closed: to a request that is not complete, and before the first
+request."""
 
 
 READ_BYTES = 16384
@@ -93,12 +103,18 @@
         self.transport = transport
         self.server.connections.add(self)
         self.server.budget.add(self)
-        self.update_held_bytes()
         self.set_timer(self.server.read_limits().idle_timeout_s)
+        if self.server.limit.admit(self):
+            self.update_held_bytes()
+        else:
+            self.is_refusing = True
+            self.transport.write(TOO_MANY.encode())
+            self.transport.close()
 
     def connection_lost(self, error):
         self.server.connections.discard(self)
         self.server.budget.remove(self)
+        self.server.limit.remove(self)
         self.timer.cancel()
         self.reader.close()
         if self.handler_task is not None:
@@ -207,7 +223,7 @@
                     self.transport.write(item.encode())
                     self.discard_rest()
                     return
-                self.is_busy = True
+                self.server.limit.set_busy(self, True)
                 response = await self.call_handler(item)
                 self.finish_request(item)
                 if not (item.keep_alive and self.server.is_open):
@@ -224,8 +240,7 @@
 
     def finish_request(self, request):
         """Record that a request was handled."""
-        self.is_busy = False
-        self.unfinished_since = self.loop.time()
+        self.server.limit.set_busy(self, False)
         self.queued_bytes -= REQUEST_BYTES + len(request.body)
 
     def discard_rest(self):
@@ -253,6 +268,7 @@
     read_limits : callable
         Returns the `RequestLimits` in force.
     budget : ConnectionBudget
+    limit : ConnectionLimit
     connections : set of ServerConnection
     is_open : bool
         False once the server is stopping.
@@ -264,6 +280,7 @@
     handler: object
     read_limits: object
     budget: ConnectionBudget
+    limit: ConnectionLimit
     connections: set = field(factory=set)
     is_open: bool = True
     refusal_line: BoundedLine = field(factory=lambda: BoundedLine(log, "request refused"))
@@ -272,7 +289,12 @@
 
 @asynccontextmanager
 async def run_server(
-    handler, address, read_limits=lambda: DEFAULT_LIMITS, budget=None, backlog=512
+    handler,
+    address,
+    read_limits=lambda: DEFAULT_LIMITS,
+    budget=None,
+    max_connections=DEFAULT_MAX_CONNECTIONS,
+    backlog=512,
 ):
     """Serve HTTP requests with a handler while the context is open.
 
@@ -288,17 +310,22 @@
         Returns the `RequestLimits` in force.
     budget : ConnectionBudget, optional
         Shared by the servers of a process; of the default size if omitted.
+    max_connections : int
+        Upper bound on the connections that are open.
     backlog : int
         How many connections may wait to be accepted.
     """
-    state = ServerState(handler, read_limits, budget or ConnectionBudget(DEFAULT_BUDGET_BYTES))
+    budget = budget or ConnectionBudget(DEFAULT_BUDGET_BYTES)
+    state = ServerState(handler, read_limits, budget, ConnectionLimit(max_connections, budget))
     loop = asyncio.get_running_loop()
-    listener = socket.create_server(address.host_and_port, backlog=backlog)
+    listener = socket.create_server(address.host_and_port)
     # Accepted connections inherit the size.
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     server = await loop.create_server(
-        lambda: ServerConnection(state), sock=listener, backlog=backlog
+        lambda: ServerConnection(state), sock=listener, backlog=MAX_ACCEPTS
     )
+    # The event loop has set the queue's length to its number of accepts in a turn.
+    listener.listen(backlog)
     try:
         yield server
     finally:
--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -58,8 +58,19 @@
 
     async with (
         run_entry(entry),
-        run_server(callers.handle_ready, settings.readiness, budget=budget),
-        run_server(callers.handle, settings.callers, callers.read_limits, budget),
+        run_server(
+            callers.handle_ready,
+            settings.readiness,
+            budget=budget,
+            max_connections=settings.max_other_connections,
+        ),
+        run_server(
+            callers.handle,
+            settings.callers,
+            callers.read_limits,
+            budget,
+            settings.max_connections,
+        ),
     ):
         yield reload, entry.stop
 
@@ -83,7 +94,12 @@
     async with open_worker_client(settings.worker) as client:
         agent = DirectAgent(own_settings, client, clock_for(own_settings.clock_file), telemetry)
         reports = ReportHandler(agent, settings.service)
-        server = run_server(reports.handle, settings.reports, budget=budget)
+        server = run_server(
+            reports.handle,
+            settings.reports,
+            budget=budget,
+            max_connections=settings.max_other_connections,
+        )
         async with run_agent(agent), server:
             yield reload, agent.stop
 
@@ -120,8 +136,13 @@
         replica.zones = settings.zones
         async with run_replica(replica) as driver:
             driver.add_done_callback(exit_on_failure)
-            operators = OperatorHandler(replica)
-            async with run_server(operators.handle, settings.reports, budget=budget):
+            server = run_server(
+                OperatorHandler(replica).handle,
+                settings.reports,
+                budget=budget,
+                max_connections=settings.max_other_connections,
+            )
+            async with server:
                 yield reload, stop
 
 
@@ -150,7 +171,8 @@
 
     try:
         address = Address(settings.host, METRICS_PORT)
-        async with run_server(handle, address, budget=budget):
+        most = settings.max_other_connections
+        async with run_server(handle, address, budget=budget, max_connections=most):
             await stopped.wait()
     except OSError as error:
         log.warning("cannot serve metrics", extra={"reason": str(error)})
@@ -214,7 +236,15 @@
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, hangup.set)
     async with PROGRAMS[role](settings, telemetry, budget) as (reload, stop_program):
-        log.info("started", extra={"host": settings.host, "seeds": settings.seeds})
+        log.info(
+            "started",
+            extra={
+                "host": settings.host,
+                "seeds": settings.seeds,
+                "max_connections": settings.max_connections,
+                "max_held_bytes": settings.max_held_bytes,
+            },
+        )
         watch_task = asyncio.create_task(watch_settings(settings, reload, hangup))
         stopped = asyncio.Event()
         metrics_task = asyncio.create_task(serve_metrics(settings, telemetry, budget, stopped))
--- a/onyxfork/platform/settings.py
+++ b/onyxfork/platform/settings.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's settings file, and its conversion to onyxfork's own settings."""
 
 import os
+import resource
 import tomllib
 from pathlib import Path
 
@@ -46,6 +47,16 @@
 HELD_MEMORY_SHARE = 0.25
 """Share of the machine's memory that client connections may hold."""
 
+MAX_DESCRIPTORS = 65536
+"""Descriptors of a process for which the system sets no limit."""
+
+RESERVED_DESCRIPTORS, MIN_SOCKETS = 200, 128
+"""Descriptors that are not for sockets, and lower bound on those that are."""
+
+CALLERS_SHARE, OTHER_LISTENERS_SHARE = 0.75, 0.0625
+"""Shares of the descriptors for sockets that callers, and the clients of each other listener, may
+use."""
+
 MIN_HELD_MB = 1
 """Lower bound on what client connections may hold, so that a request of any legal size fits."""
 
@@ -87,6 +98,8 @@
         Region of each availability zone that operators may evacuate.
     max_held_bytes : int
         Upper bound on what all client connections hold in memory.
+    max_connections, max_other_connections : int
+        Upper bounds on callers' connections, and on those of each other listener.
     incarnation : str
         Identifies the process since its start, in its logs and, of an entry or agent, to its peers.
     """
@@ -110,6 +123,8 @@
     clock_file: str = ""
     zones: dict = field(factory=dict)
     max_held_bytes: int = 64 * 2**20
+    max_connections: int = 1024
+    max_other_connections: int = 64
     incarnation: str = field(factory=make_incarnation, eq=False)
 
     def internal_address(self, port_offset, host=None):
@@ -208,6 +223,25 @@
     return int(max_held_mb * 2**20)
 
 
+def decode_max_connections(data):
+    """Return the upper bounds on callers' connections and on those of each other listener.
+
+    The rest of the descriptors is for the process's own connections and files.
+    """
+    machine = read_object(data.get("limits", {}), "limits")
+    own = read_object(data.get("onyxfork", {}), "onyxfork")
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        allowed = MAX_DESCRIPTORS
+    descriptors = min(read_integer(machine, "maxFds", allowed), allowed)
+    available = max(MIN_SOCKETS, descriptors - RESERVED_DESCRIPTORS)
+    most = int(CALLERS_SHARE * available)
+    callers = read_integer(own, "maxConnections", most)
+    if not 1 <= callers <= most:
+        raise FieldError(f"maxConnections: expected 1 to {most}, got {callers}")
+    return callers, int(OTHER_LISTENERS_SHARE * available)
+
+
 def physical_memory_mb():
     """Return the memory of this machine."""
     return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / 2**20
@@ -232,6 +266,7 @@
     ports = read_list(data, "internalPorts")
     if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
         raise FieldError("internalPorts: expected two ports")
+    max_connections, max_other_connections = decode_max_connections(data)
     return PlatformSettings(
         node=read_string(data, "node"),
         zone=read_string(data, "zone"),
@@ -250,6 +285,8 @@
         tolerated_losses=read_integer(fault_tolerance, "machines", 1),
         zones=decode_zones(data),
         max_held_bytes=decode_max_held_bytes(data),
+        max_connections=max_connections,
+        max_other_connections=max_other_connections,
     )
 
 
--- a/tests/direct/test_connection_budget.py
+++ b/tests/direct/test_connection_budget.py
@@ -2,7 +2,12 @@
 
 import logging
 
-from onyxfork.direct.connection_budget import BudgetedConnection, ConnectionBudget, rank_connections
+from onyxfork.direct.connection_budget import (
+    BudgetedConnection,
+    ConnectionBudget,
+    ConnectionLimit,
+    rank_connections,
+)
 from onyxfork.direct.telemetry import Telemetry
 from onyxfork.utils import FakeClock
 
@@ -95,3 +100,48 @@
         clock.advance(0.001)
         connect(budget, 600)
     assert len(caplog.records) == 1
+
+
+def make_limit(max_connections):
+    budget, telemetry, clock = make_budget(10**9)
+    return ConnectionLimit(max_connections, budget), telemetry, clock
+
+
+def admit(limit):
+    client = Client()
+    limit.budget.add(client)
+    return client, limit.admit(client)
+
+
+def test_connection_that_has_waited_longest_makes_room_for_a_new_one():
+    limit, telemetry, _ = make_limit(3)
+    first, second, third = (admit(limit)[0] for _ in range(3))
+    limit.set_busy(first, True)
+    limit.set_busy(first, False)
+    _, admitted = admit(limit)
+    assert admitted and second.is_closed and not first.is_closed and not third.is_closed
+    assert telemetry.counters["connections_evicted", (("cause", "descriptors"),)] == 1
+    limit.remove(second)
+    _, admitted = admit(limit)
+    assert admitted and third.is_closed and not first.is_closed
+
+
+def test_new_connection_is_refused_when_all_others_have_requests_in_progress():
+    limit, _, _ = make_limit(2)
+    clients = [admit(limit)[0] for _ in range(2)]
+    for client in clients:
+        limit.set_busy(client, True)
+    late, admitted = admit(limit)
+    assert not admitted and not any(client.is_closed for client in clients)
+    limit.remove(late)
+    limit.remove(clients[0])
+    assert admit(limit)[1]
+
+
+def test_finished_requests_count_from_their_end():
+    limit, _, clock = make_limit(2)
+    client, _ = admit(limit)
+    limit.set_busy(client, True)
+    clock.advance(5.0)
+    limit.set_busy(client, False)
+    assert (client.is_busy, client.unfinished_since) == (False, clock.now())
--- a/tests/platform/test_http_protocol.py
+++ b/tests/platform/test_http_protocol.py
@@ -202,3 +202,32 @@
             await writer.drain()
         assert (await read_response(reader))[0] == 413
         assert await reader.read() == b""
+
+
+async def test_idle_connections_make_room_for_new_ones_and_requests_in_progress_do_not():
+    arrived, finish = asyncio.Event(), asyncio.Event()
+
+    async def handle(request):
+        if request.path == "/slow":
+            arrived.set()
+            await finish.wait()
+        return await echo(request)
+
+    address = free_address()
+    async with run_server(handle, address, max_connections=2):
+        clients = [await asyncio.open_connection(*address.host_and_port)]
+        clients[0][1].write(b"GET /slow HTTP/1.1\r\n\r\n")
+        async with asyncio.timeout(TIMEOUT_S):
+            await arrived.wait()
+            clients += [await asyncio.open_connection(*address.host_and_port) for _ in range(2)]
+            assert await clients[1][0].read() == b""
+        clients[2][1].write(b"GET /slow HTTP/1.1\r\n\r\n")
+        await asyncio.sleep(0.05)
+        clients.append(await asyncio.open_connection(*address.host_and_port))
+        status, fields, _ = await read_response(clients[3][0])
+        assert (status, fields["Connection"], fields["Retry-After"]) == (503, "close", "1")
+        finish.set()
+        for reader, _ in (clients[0], clients[2]):
+            assert (await read_response(reader))[0] == 200
+        for _, writer in clients:
+            writer.close()
