Bound the work for clients in one turn of the event loop

Cause: while clients sent many small requests without waiting, or without reading the responses, entries ended for want of memory, answered no ordinary job, and did not end within their grace period after SIGTERM. All requests of a read of up to 256 KiB were parsed and kept, and a connection's requests were handled without a pause as long as the handler answered at once: one turn of the event loop lasted many seconds, in which no timer or signal was served. A client that did not read was never closed. Beyond 16 KiB of unread responses no request is handled, and after the idle timeout the connection is closed.

--- a/onyxfork/platform/http.py
+++ b/onyxfork/platform/http.py
@@ -17,6 +17,7 @@
     ConnectionBudget,
     ConnectionLimit,
 )
+from onyxfork.direct.turn_quota import TurnQuota
 from onyxfork.logs import BoundedLine
 from onyxfork.platform.http_messages import Headers, Request, Response, json_response
 from onyxfork.platform.http_reader import DEFAULT_LIMITS, RequestError, RequestReader
@@ -25,9 +26,6 @@
 
 log = logging.getLogger(__name__)
 
-MAX_PIPELINED = 16
-"""Upper bound on the requests of a connection that wait for the handler; reading pauses above."""
-
 REQUEST_TIMEOUT_S = 15.0
 """How long a request may take to arrive, from its first byte to its last."""
 
@@ -60,8 +58,11 @@
 READ_BYTES = 16384
 """Upper bound on the bytes of one read."""
 
-RECEIVE_BUFFER_BYTES = 16384
-"""Size of the kernel's buffer for bytes of a connection that are not read yet."""
+RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES = 16384, 32768
+"""Sizes of the kernel's buffers for bytes of a connection that are not read yet, and not sent."""
+
+WRITE_BUFFER_BYTES = 16384
+"""Unsent bytes beyond the kernel's buffer above which no more requests are handled."""
 
 
 class ServerConnection(BudgetedConnection, asyncio.BufferedProtocol):
@@ -79,6 +80,8 @@
         refused.
     queued_bytes : int
         What the requests hold that are complete and not answered yet.
+    unparsed : bytes
+        Bytes that follow complete requests; reading is paused until they are parsed.
     handler_task : asyncio.Task or None
         Handles the waiting requests; cancelled when the client disconnects.
     """
@@ -96,11 +99,13 @@
         self.is_refusing = False
         self.discarded_bytes = 0
         self.queued_bytes = 0
+        self.unparsed = b""
 
     # Transport
 
     def connection_made(self, transport):
         self.transport = transport
+        transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         self.server.connections.add(self)
         self.server.budget.add(self)
         self.set_timer(self.server.read_limits().idle_timeout_s)
@@ -133,22 +138,51 @@
         if self.is_refusing:
             self.discard(size)
             return
+        data = self.server.read_buffer[:size]
+        if self.waiting or self.server.quota.is_spent():
+            self.postpone(data)
+        else:
+            self.parse(data)
+        self.update_held_bytes()
+
+    def parse(self, data):
+        """Parse bytes up to a complete request, and postpone the rest."""
         was_in_request = self.reader.is_in_request
         try:
-            self.reader.feed(self.server.read_buffer[:size])
+            parsed_bytes = self.reader.feed(data)
         except RequestError as error:
             self.refuse(error.status, str(error))
             return
-        self.update_held_bytes()
         if self.reader.is_in_request and not was_in_request:
             self.set_timer(REQUEST_TIMEOUT_S)
         elif was_in_request and not self.reader.is_in_request:
             self.set_timer(self.reader.limits.idle_timeout_s)
+        if parsed_bytes < len(data):
+            self.postpone(data[parsed_bytes:])
+
+    def postpone(self, data):
+        """Keep bytes to parse them in a later turn, after the complete requests are handled."""
+        self.unparsed = bytes(data)
+        self.transport.pause_reading()
+        if self.handler_task is None:
+            self.server.quota.defer(self.parse_postponed)
+
+    def parse_postponed(self):
+        """Parse bytes that were kept, and go on reading after the last of them."""
+        if self.is_refusing or self.transport.is_closing():
+            return
+        data, self.unparsed = self.unparsed, b""
+        self.parse(memoryview(data))
+        if not self.unparsed:
+            self.transport.resume_reading()
+        self.update_held_bytes()
 
     def update_held_bytes(self):
         """Record what the connection holds in the budget of the process."""
         unsent_bytes = 0 if self.can_write.is_set() else self.transport.get_write_buffer_size()
         received_bytes = self.reader.held_bytes + self.queued_bytes
+        if self.unparsed:
+            received_bytes += len(self.unparsed) + RECEIVE_BUFFER_BYTES
         self.server.budget.hold(self, CONNECTION_BYTES + received_bytes + unsent_bytes)
 
     def evict(self):
@@ -160,6 +194,7 @@
         self.is_refusing = True
         self.reader.close()
         self.waiting.clear()
+        self.unparsed = b""
         if is_incomplete and self.can_write.is_set():
             self.transport.write(EVICTED.encode())
             self.transport.close()
@@ -207,37 +242,54 @@
             item.transport = self.transport
             self.queued_bytes += REQUEST_BYTES + len(item.body)
         self.waiting.append(item)
-        if len(self.waiting) >= MAX_PIPELINED:
-            self.transport.pause_reading()
         if self.handler_task is None:
             self.handler_task = self.loop.create_task(self.handle_waiting())
 
     async def handle_waiting(self):
-        """Handle the waiting requests in their order and write the responses."""
+        """Handle the waiting requests in their order and write the responses.
+
+        Connections with requests take turns, one request each.
+        """
+        quota = self.server.quota
         try:
-            while self.waiting and not self.transport.is_closing():
-                item = self.waiting.popleft()
-                if len(self.waiting) == MAX_PIPELINED - 1:
-                    self.transport.resume_reading()
-                if isinstance(item, Response):
-                    self.transport.write(item.encode())
-                    self.discard_rest()
-                    return
-                self.server.limit.set_busy(self, True)
-                response = await self.call_handler(item)
-                self.finish_request(item)
-                if not (item.keep_alive and self.server.is_open):
-                    response.close = True
-                self.transport.write(response.encode(item.method == "HEAD"))
-                if response.close:
-                    self.transport.close()
-                if not self.can_write.is_set():
-                    self.update_held_bytes()
-                    await self.can_write.wait()
-                self.update_held_bytes()
+            while (self.waiting or self.unparsed) and not self.transport.is_closing():
+                if quota.is_spent() or quota.has_deferred:
+                    await quota.wait_for_turn()
+                if not self.waiting:
+                    self.parse_postponed()
+                elif not self.transport.is_closing():
+                    await self.handle_next()
         finally:
             self.handler_task = None
 
+    async def handle_next(self):
+        """Handle the request that has waited longest, or send the response to a refused one."""
+        item = self.waiting.popleft()
+        if isinstance(item, Response):
+            self.transport.write(item.encode())
+            self.discard_rest()
+            return
+        self.server.limit.set_busy(self, True)
+        response = await self.call_handler(item)
+        self.finish_request(item)
+        if not (item.keep_alive and self.server.is_open):
+            response.close = True
+        self.transport.write(response.encode(item.method == "HEAD"))
+        if response.close:
+            self.transport.close()
+        self.update_held_bytes()
+        if not self.can_write.is_set():
+            await self.wait_for_client()
+
+    async def wait_for_client(self):
+        """Wait until the client has read responses, and close the connection if it does not."""
+        try:
+            async with asyncio.timeout(self.reader.limits.idle_timeout_s):
+                await self.can_write.wait()
+        except TimeoutError:
+            self.transport.abort()
+        self.update_held_bytes()
+
     def finish_request(self, request):
         """Record that a request was handled."""
         self.server.limit.set_busy(self, False)
@@ -245,6 +297,7 @@
 
     def discard_rest(self):
         """Close the connection after a refusal once the client has been able to read it."""
+        self.unparsed = b""
         self.transport.resume_reading()
         self.transport.write_eof()
         self.set_timer(DISCARD_TIMEOUT_S)
@@ -269,6 +322,7 @@
         Returns the `RequestLimits` in force.
     budget : ConnectionBudget
     limit : ConnectionLimit
+    quota : TurnQuota
     connections : set of ServerConnection
     is_open : bool
         False once the server is stopping.
@@ -281,6 +335,7 @@
     read_limits: object
     budget: ConnectionBudget
     limit: ConnectionLimit
+    quota: TurnQuota
     connections: set = field(factory=set)
     is_open: bool = True
     refusal_line: BoundedLine = field(factory=lambda: BoundedLine(log, "request refused"))
@@ -316,11 +371,13 @@
         How many connections may wait to be accepted.
     """
     budget = budget or ConnectionBudget(DEFAULT_BUDGET_BYTES)
-    state = ServerState(handler, read_limits, budget, ConnectionLimit(max_connections, budget))
     loop = asyncio.get_running_loop()
+    limit, quota = ConnectionLimit(max_connections, budget), TurnQuota(loop)
+    state = ServerState(handler, read_limits, budget, limit, quota)
     listener = socket.create_server(address.host_and_port)
-    # Accepted connections inherit the size.
+    # Accepted connections inherit the sizes.
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     server = await loop.create_server(
         lambda: ServerConnection(state), sock=listener, backlog=MAX_ACCEPTS
     )
--- a/onyxfork/platform/http_reader.py
+++ b/onyxfork/platform/http_reader.py
@@ -26,7 +26,8 @@
 """Names of the header fields that are kept."""
 
 PIECE_BYTES = 512
-"""How much is parsed at a time; limits are checked after each piece."""
+"""How much is parsed at a time. Limits are checked after each piece, and all requests that end in
+one piece are kept until they are handled."""
 
 
 class RequestError(Exception):
@@ -87,12 +88,17 @@
         return self.header_bytes + len(self.body) + self.overhead_bytes
 
     def feed(self, data):
-        """Parse bytes that have arrived.
+        """Parse bytes that have arrived, up to the piece in which a request ends.
 
         Parameters
         ----------
         data : memoryview
 
+        Returns
+        -------
+        int
+            How many bytes were parsed.
+
         Raises
         ------
         RequestError
@@ -100,6 +106,9 @@
         """
         for start in range(0, len(data), PIECE_BYTES):
             self.feed_piece(data[start : start + PIECE_BYTES])
+            if self.ended_in_piece:
+                return min(start + PIECE_BYTES, len(data))
+        return len(data)
 
     def feed_piece(self, piece):
         """Parse at most `PIECE_BYTES`; see `feed`."""
--- a/tests/platform/test_http_protocol.py
+++ b/tests/platform/test_http_protocol.py
@@ -231,3 +231,45 @@
             assert (await read_response(reader))[0] == 200
         for _, writer in clients:
             writer.close()
+
+
+async def test_client_that_does_not_read_is_closed():
+    limits = evolve(DEFAULT_LIMITS, idle_timeout_s=0.3)
+
+    async def handle(_):
+        return Response(body=b"x" * 500_000)
+
+    address, budget = free_address(), ConnectionBudget(10**8)
+    async with run_server(handle, address, lambda: limits, budget):
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(address.host_and_port)
+            client.sendall(b"GET /a HTTP/1.1\r\n\r\n" * 20)
+            async with asyncio.timeout(TIMEOUT_S):
+                while not budget.held_bytes > 300_000:
+                    await asyncio.sleep(0.01)
+                while budget.connections:
+                    await asyncio.sleep(0.01)
+
+
+async def test_request_beside_pipelines_is_answered_before_they_end():
+    address, counts = free_address(), {}
+
+    async def handle(request):
+        counts[request.path] = counts.get(request.path, 0) + 1
+        return Response()
+
+    async with run_server(handle, address), open_pool(address, 1) as pool:
+        clients = [await asyncio.open_connection(*address.host_and_port) for _ in range(10)]
+        readers = [asyncio.create_task(reader.read()) for reader, _ in clients]
+        for _, writer in clients:
+            writer.write(b"GET /a HTTP/1.1\r\n\r\n" * 20_000)
+        async with asyncio.timeout(TIMEOUT_S):
+            while counts.get("/a", 0) < 100:
+                await asyncio.sleep(0)
+            assert (await pool.post("/b", b"", {}))[0] == 200
+        assert counts["/a"] < 200_000
+        for task, (_, writer) in zip(readers, clients, strict=True):
+            task.cancel()
+            writer.close()
+        await asyncio.gather(*readers, return_exceptions=True)
--- a/tests/platform/test_http_reader.py
+++ b/tests/platform/test_http_reader.py
@@ -16,7 +16,9 @@
     reader = RequestReader(lambda: limits, requests.append, lambda: None)
     size = size or len(data)
     for start in range(0, len(data), size):
-        reader.feed(memoryview(data)[start : start + size])
+        rest = memoryview(data)[start : start + size]
+        while rest:
+            rest = rest[reader.feed(rest) :]
     return requests, reader
 
 
@@ -72,3 +74,11 @@
     assert [item.body for item in requests] == [b"xx"]
     with pytest.raises(RequestError):
         reader.feed(memoryview(request))
+
+
+def test_parsing_stops_after_the_piece_in_which_a_request_ends():
+    requests = []
+    reader = RequestReader(lambda: LIMITS, requests.append, lambda: None)
+    data = memoryview(b"GET /a HTTP/1.1\r\n\r\n" * 1000)
+    assert reader.feed(data) < len(data) / 10
+    assert len(requests) < 100
