Refuse JSON of very many values before it is decoded

Cause: an agent or control instance ended for want of memory on a body of 4 MiB that consists of nested lists: decoding took 44 times the bytes of the body, checked for depth only afterwards. Change: a body with more than 50,000 objects and lists or 300,000 commas is refused with 400 by a count of its bytes.

--- a/onyxfork/platform/fields.py
+++ b/onyxfork/platform/fields.py
@@ -28,6 +28,10 @@
 MAX_NESTING = 32
 """Upper bound on the levels of objects and lists."""
 
+MAX_CONTAINERS, MAX_VALUES = 50_000, 300_000
+"""Upper bounds on the objects and lists of a body, and on its commas. In memory a list takes up to
+44 times the bytes of the body."""
+
 MAX_SHOWN_LENGTH = 64
 """Upper bound on the characters of a refused value in an error message."""
 
@@ -48,8 +52,13 @@
     Raises
     ------
     FieldError
-        If the body is not JSON, or is nested deeper than `MAX_NESTING`.
+        If the body is not JSON, is nested deeper than `MAX_NESTING`, or has more values than
+        `MAX_CONTAINERS` and `MAX_VALUES` allow.
     """
+    if body.count(b"[") + body.count(b"{") > MAX_CONTAINERS:
+        raise FieldError(f"more than {MAX_CONTAINERS} objects and lists")
+    if body.count(b",") > MAX_VALUES:
+        raise FieldError(f"more than {MAX_VALUES} values")
     try:
         value = json.loads(body)
     except RecursionError:
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -285,8 +285,8 @@
 
 
 def test_report_tells_how_long_a_worker_remains_cold():
-    assert decode_report("i-1", json.dumps(REPORT)).cold_left_ms == 0
-    cold = decode_report("i-1", json.dumps({**REPORT, "coldLeftMs": 1500}))
+    assert decode_report("i-1", json.dumps(REPORT).encode()).cold_left_ms == 0
+    cold = decode_report("i-1", json.dumps({**REPORT, "coldLeftMs": 1500}).encode())
     assert cold.cold_left_ms == 1500
 
 
