Count the grace period from the arrival of SIGTERM

Cause: a process whose event loop was busy beyond its grace period did not end: its overdue exit was armed by the event loop, which had not seen the signal. Callers saw it as a stop that ended with SIGKILL and broken connections. Change: a signal handler of the main thread arms the exit and passes the signal on to the event loop. Result: test_entry_ends_in_time_while_its_event_loop_is_busy: not ended after 60 s before, ends with status 3 now; the stops beside pipelines hold as before.

--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -225,6 +225,27 @@
     timer.start()
 
 
+def handle_stop_signal(loop, stop_requested, max_stop_s):
+    """Begin a planned stop on SIGTERM, and bound its duration from the arrival of the signal.
+
+    The handler runs between two instructions of the main thread, also while the event loop is busy.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+    stop_requested : asyncio.Event
+    max_stop_s : float
+        After this time the process exits in any case.
+    """
+
+    def handle(_, __):
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        exit_when_overdue(max_stop_s)
+        loop.call_soon_threadsafe(stop_requested.set)
+
+    signal.signal(signal.SIGTERM, handle)
+
+
 async def run(role):
     """Run the program of a role until SIGTERM."""
     settings = load_platform_settings()
@@ -233,7 +254,7 @@
     budget = ConnectionBudget(settings.max_held_bytes, telemetry)
     stop_requested, hangup = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
+    handle_stop_signal(loop, stop_requested, settings.grace_s - EXIT_RESERVE_S)
     loop.add_signal_handler(signal.SIGHUP, hangup.set)
     async with PROGRAMS[role](settings, telemetry, budget) as (reload, stop_program):
         log.info(
@@ -254,7 +275,6 @@
         gc.enable()
         await stop_requested.wait()
         log.info("stopping")
-        exit_when_overdue(settings.grace_s - EXIT_RESERVE_S)
         await stop_program()
         watch_task.cancel()
         stopped.set()
