Take the timeouts of callers' requests from the configuration, and the limits on clients from the settings

Cause: a client that stopped in the middle of a header kept its connection for 15 s, an idle one for 60 s, whatever the operators had configured (headerTimeoutMs, idleTimeoutMs): the listener had constants of its own. Change: the configuration's times apply to callers; a body has its own time. client_limits.py derives the limits on clients from the machine, and each can be set in the settings file's table onyxfork.

--- a/onyxfork/direct/settings.py
+++ b/onyxfork/direct/settings.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from onyxfork.addresses import Address
+from onyxfork.direct.client_limits import MAX_HELD_TASKS
 from onyxfork.messages import PROTOCOL_VERSION, Hello, Timing
 
 __all__ = ["DirectSettings", "make_incarnation", "NODE_TIMING", "CONTROL_TIMING"]
@@ -47,6 +48,8 @@
         Upper bound on how long a planned stop waits for accepted work.
     timing, control_timing : Timing
         Timeouts of connections between entries and agents, and to control.
+    max_held_tasks : int
+        Upper bound on the tasks of the jobs that an entry has.
     incarnation : str
         Identifies the process since its start; each restart gets a new one.
     """
@@ -62,6 +65,7 @@
     clock_file: str = ""
     timing: Timing = NODE_TIMING
     control_timing: Timing = CONTROL_TIMING
+    max_held_tasks: int = MAX_HELD_TASKS
     incarnation: str = field(factory=make_incarnation)
 
     @property
--- a/onyxfork/direct/turn_quota.py
+++ b/onyxfork/direct/turn_quota.py
@@ -10,9 +10,6 @@
 
 __all__ = ["TurnQuota"]
 
-MAX_TURN_S = 0.005
-"""Work for clients in one turn; the piece of work that exceeds it is completed."""
-
 MAX_RESUMED = 32
 """Upper bound on the deferred pieces of work that are resumed in one turn."""
 
@@ -24,6 +21,7 @@
     ----------
     loop : asyncio.AbstractEventLoop
     max_turn_s : float
+        Work in one turn; the piece of work that exceeds it is completed.
     clock : callable
         Returns monotonic seconds.
 
@@ -35,7 +33,7 @@
         What is called in later turns, the one that has waited longest first.
     """
 
-    def __init__(self, loop, max_turn_s=MAX_TURN_S, clock=time.monotonic):
+    def __init__(self, loop, max_turn_s, clock=time.monotonic):
         self.loop = loop
         self.max_turn_s = max_turn_s
         self.clock = clock
--- a/onyxfork/platform/http.py
+++ b/onyxfork/platform/http.py
@@ -12,6 +12,7 @@
 
 from attrs import define, field
 
+from onyxfork.direct.client_limits import ClientLimits
 from onyxfork.direct.connection_budget import (
     BudgetedConnection,
     ConnectionBudget,
@@ -26,9 +27,6 @@
 
 log = logging.getLogger(__name__)
 
-REQUEST_TIMEOUT_S = 15.0
-"""How long a request may take to arrive, from its first byte to its last."""
-
 SHUTDOWN_TIMEOUT_S = 0.3
 """How long a stopping server waits for handlers."""
 
@@ -38,8 +36,7 @@
 the response."""
 
 
-DEFAULT_BUDGET_BYTES, DEFAULT_MAX_CONNECTIONS = 64 * 2**20, 1024
-"""Limits of a server that is given none."""
+DEFAULT_CLIENT_LIMITS = ClientLimits()
 
 MAX_ACCEPTS = 8
 """Upper bound on the connections that are accepted in one turn of the event loop. They have their
@@ -61,9 +58,6 @@
 RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES = 16384, 32768
 """Sizes of the kernel's buffers for bytes of a connection that are not read yet, and not sent."""
 
-WRITE_BUFFER_BYTES = 16384
-"""Unsent bytes beyond the kernel's buffer above which no more requests are handled."""
-
 
 class ServerConnection(BudgetedConnection, asyncio.BufferedProtocol):
     """One client's connection.
@@ -105,7 +99,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
-        transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
+        transport.set_write_buffer_limits(self.server.limits.unsent_bytes)
         self.server.connections.add(self)
         self.server.budget.add(self)
         self.set_timer(self.server.read_limits().idle_timeout_s)
@@ -147,16 +141,20 @@
 
     def parse(self, data):
         """Parse bytes up to a complete request, and postpone the rest."""
-        was_in_request = self.reader.is_in_request
+        reader = self.reader
+        was_in_request, had_header = reader.is_in_request, reader.headers_complete
         try:
             parsed_bytes = self.reader.feed(data)
         except RequestError as error:
             self.refuse(error.status, str(error))
             return
-        if self.reader.is_in_request and not was_in_request:
-            self.set_timer(REQUEST_TIMEOUT_S)
-        elif was_in_request and not self.reader.is_in_request:
-            self.set_timer(self.reader.limits.idle_timeout_s)
+        if not reader.is_in_request:
+            if was_in_request:
+                self.set_timer(reader.limits.idle_timeout_s)
+        elif not was_in_request or reader.headers_complete != had_header:
+            in_body = reader.headers_complete
+            limit_s = self.server.limits.body_timeout_s
+            self.set_timer(limit_s if in_body else reader.limits.header_timeout_s)
         if parsed_bytes < len(data):
             self.postpone(data[parsed_bytes:])
 
@@ -320,6 +318,7 @@
     handler : coroutine function
     read_limits : callable
         Returns the `RequestLimits` in force.
+    limits : ClientLimits
     budget : ConnectionBudget
     limit : ConnectionLimit
     quota : TurnQuota
@@ -333,6 +332,7 @@
 
     handler: object
     read_limits: object
+    limits: ClientLimits
     budget: ConnectionBudget
     limit: ConnectionLimit
     quota: TurnQuota
@@ -348,7 +348,7 @@
     address,
     read_limits=lambda: DEFAULT_LIMITS,
     budget=None,
-    max_connections=DEFAULT_MAX_CONNECTIONS,
+    limits=DEFAULT_CLIENT_LIMITS,
     backlog=512,
 ):
     """Serve HTTP requests with a handler while the context is open.
@@ -365,15 +365,15 @@
         Returns the `RequestLimits` in force.
     budget : ConnectionBudget, optional
         Shared by the servers of a process; of the default size if omitted.
-    max_connections : int
-        Upper bound on the connections that are open.
+    limits : ClientLimits
     backlog : int
         How many connections may wait to be accepted.
     """
-    budget = budget or ConnectionBudget(DEFAULT_BUDGET_BYTES)
+    budget = budget or ConnectionBudget(limits.held_bytes)
     loop = asyncio.get_running_loop()
-    limit, quota = ConnectionLimit(max_connections, budget), TurnQuota(loop)
-    state = ServerState(handler, read_limits, budget, limit, quota)
+    limit = ConnectionLimit(limits.connections, budget)
+    quota = TurnQuota(loop, limits.turn_s)
+    state = ServerState(handler, read_limits, limits, budget, limit, quota)
     listener = socket.create_server(address.host_and_port)
     # Accepted connections inherit the sizes.
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -62,14 +62,14 @@
             callers.handle_ready,
             settings.readiness,
             budget=budget,
-            max_connections=settings.max_other_connections,
+            limits=settings.client_limits.for_other_listener(),
         ),
         run_server(
             callers.handle,
             settings.callers,
             callers.read_limits,
             budget,
-            settings.max_connections,
+            settings.client_limits,
         ),
     ):
         yield reload, entry.stop
@@ -98,7 +98,7 @@
             reports.handle,
             settings.reports,
             budget=budget,
-            max_connections=settings.max_other_connections,
+            limits=settings.client_limits.for_other_listener(),
         )
         async with run_agent(agent), server:
             yield reload, agent.stop
@@ -140,7 +140,7 @@
                 OperatorHandler(replica).handle,
                 settings.reports,
                 budget=budget,
-                max_connections=settings.max_other_connections,
+                limits=settings.client_limits.for_other_listener(),
             )
             async with server:
                 yield reload, stop
@@ -171,8 +171,8 @@
 
     try:
         address = Address(settings.host, METRICS_PORT)
-        most = settings.max_other_connections
-        async with run_server(handle, address, budget=budget, max_connections=most):
+        limits = settings.client_limits.for_other_listener()
+        async with run_server(handle, address, budget=budget, limits=limits):
             await stopped.wait()
     except OSError as error:
         log.warning("cannot serve metrics", extra={"reason": str(error)})
@@ -251,7 +251,7 @@
     settings = load_platform_settings()
     start_rate_limited_logging(role, settings.node, settings.zone, incarnation=settings.incarnation)
     telemetry = Telemetry(role, settings.node, settings.zone)
-    budget = ConnectionBudget(settings.max_held_bytes, telemetry)
+    budget = ConnectionBudget(settings.client_limits.held_bytes, telemetry)
     stop_requested, hangup = asyncio.Event(), asyncio.Event()
     loop = asyncio.get_running_loop()
     handle_stop_signal(loop, stop_requested, settings.grace_s - EXIT_RESERVE_S)
@@ -262,8 +262,9 @@
             extra={
                 "host": settings.host,
                 "seeds": settings.seeds,
-                "max_connections": settings.max_connections,
-                "max_held_bytes": settings.max_held_bytes,
+                "max_connections": settings.client_limits.connections,
+                "max_held_bytes": settings.client_limits.held_bytes,
+                "max_held_tasks": settings.client_limits.held_tasks,
             },
         )
         watch_task = asyncio.create_task(watch_settings(settings, reload, hangup))
--- a/onyxfork/platform/settings.py
+++ b/onyxfork/platform/settings.py
@@ -1,7 +1,6 @@
 """Decoding of the platform's settings file, and its conversion to onyxfork's own settings."""
 
 import os
-import resource
 import tomllib
 from pathlib import Path
 
@@ -9,8 +8,10 @@
 from attrs import define, field
 
 from onyxfork.addresses import Address
+from onyxfork.direct.client_limits import ClientLimits
 from onyxfork.direct.settings import CONTROL_TIMING, DirectSettings, make_incarnation
 from onyxfork.errors import SettingsError
+from onyxfork.platform.client_limits import decode_client_limits
 from onyxfork.platform.fields import (
     FieldError,
     read_integer,
@@ -44,23 +45,6 @@
 SIGKILL."""
 
 
-HELD_MEMORY_SHARE = 0.25
-"""Share of the machine's memory that client connections may hold."""
-
-MAX_DESCRIPTORS = 65536
-"""Descriptors of a process for which the system sets no limit."""
-
-RESERVED_DESCRIPTORS, MIN_SOCKETS = 200, 128
-"""Descriptors that are not for sockets, and lower bound on those that are."""
-
-CALLERS_SHARE, OTHER_LISTENERS_SHARE = 0.75, 0.0625
-"""Shares of the descriptors for sockets that callers, and the clients of each other listener, may
-use."""
-
-MIN_HELD_MB = 1
-"""Lower bound on what client connections may hold, so that a request of any legal size fits."""
-
-
 @define(frozen=True)
 class PlatformSettings:
     """Decoded settings file.
@@ -96,10 +80,7 @@
         File with milliseconds to add to the time of day; empty for none.
     zones : dict of str to str
         Region of each availability zone that operators may evacuate.
-    max_held_bytes : int
-        Upper bound on what all client connections hold in memory.
-    max_connections, max_other_connections : int
-        Upper bounds on callers' connections, and on those of each other listener.
+    client_limits : ClientLimits
     incarnation : str
         Identifies the process since its start, in its logs and, of an entry or agent, to its peers.
     """
@@ -122,9 +103,7 @@
     listen_host: str = ""
     clock_file: str = ""
     zones: dict = field(factory=dict)
-    max_held_bytes: int = 64 * 2**20
-    max_connections: int = 1024
-    max_other_connections: int = 64
+    client_limits: ClientLimits = field(factory=ClientLimits)
     incarnation: str = field(factory=make_incarnation, eq=False)
 
     def internal_address(self, port_offset, host=None):
@@ -159,6 +138,7 @@
             control=self.control_instances(),
             lease_ms=self.lease_ms,
             drain_s=self.grace_s - DRAIN_RESERVE_S,
+            max_held_tasks=self.client_limits.held_tasks,
             incarnation=self.incarnation,
         )
 
@@ -212,46 +192,9 @@
     return zones
 
 
-def decode_max_held_bytes(data):
-    """Return the upper bound on what client connections hold, by default a share of the memory."""
-    machine = read_object(data.get("limits", {}), "limits")
-    own = read_object(data.get("onyxfork", {}), "onyxfork")
-    memory_mb = read_number(machine, "memoryMb", 0) or physical_memory_mb()
-    max_held_mb = read_number(own, "maxHeldMb", HELD_MEMORY_SHARE * memory_mb)
-    if max_held_mb < MIN_HELD_MB:
-        raise FieldError(f"maxHeldMb: expected at least {MIN_HELD_MB}, got {max_held_mb}")
-    return int(max_held_mb * 2**20)
-
-
-def decode_max_connections(data):
-    """Return the upper bounds on callers' connections and on those of each other listener.
-
-    The rest of the descriptors is for the process's own connections and files.
-    """
-    machine = read_object(data.get("limits", {}), "limits")
-    own = read_object(data.get("onyxfork", {}), "onyxfork")
-    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if allowed == resource.RLIM_INFINITY:
-        allowed = MAX_DESCRIPTORS
-    descriptors = min(read_integer(machine, "maxFds", allowed), allowed)
-    available = max(MIN_SOCKETS, descriptors - RESERVED_DESCRIPTORS)
-    most = int(CALLERS_SHARE * available)
-    callers = read_integer(own, "maxConnections", most)
-    if not 1 <= callers <= most:
-        raise FieldError(f"maxConnections: expected 1 to {most}, got {callers}")
-    return callers, int(OTHER_LISTENERS_SHARE * available)
-
-
-def physical_memory_mb():
-    """Return the memory of this machine."""
-    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") / 2**20
-
-
 def decode_settings(data):
     """Return the `PlatformSettings` in a decoded TOML file.
 
-    The optional table ``onyxfork`` has this project's own fields.
-
     In the file, ``app`` is the worker, ``front`` the address for callers, ``hold`` a lease, and
     ``control`` under ``listen`` the address for the worker's reports or for operators.
 
@@ -266,7 +209,6 @@
     ports = read_list(data, "internalPorts")
     if len(ports) != 2 or not all(isinstance(port, int) for port in ports):
         raise FieldError("internalPorts: expected two ports")
-    max_connections, max_other_connections = decode_max_connections(data)
     return PlatformSettings(
         node=read_string(data, "node"),
         zone=read_string(data, "zone"),
@@ -284,9 +226,7 @@
         grace_s=read_number(bounds, "graceS", 6),
         tolerated_losses=read_integer(fault_tolerance, "machines", 1),
         zones=decode_zones(data),
-        max_held_bytes=decode_max_held_bytes(data),
-        max_connections=max_connections,
-        max_other_connections=max_other_connections,
+        client_limits=decode_client_limits(data),
     )
 
 
--- a/onyxfork/platform/standin/crowds.py
+++ b/onyxfork/platform/standin/crowds.py
@@ -53,6 +53,8 @@
         Whether the clients read the responses.
     reconnects : bool
         Whether a client whose connection was closed opens another one.
+    interval_s : float
+        Time between the first connections of two clients.
     """
 
     name: str
@@ -60,6 +62,7 @@
     payload: bytes
     reads: bool = True
     reconnects: bool = False
+    interval_s: float = 0.0
 
     def payload_of(self, number):
         """Return what the client of a number sends."""
@@ -200,6 +203,7 @@
 
 async def run_client(crowd, number, address, source_host):
     """Run one client of a crowd; return what the server has sent before it closed."""
+    await asyncio.sleep(number * crowd.interval_s)
     received = await send_payload(crowd, number, address, source_host)
     while crowd.reconnects:
         await asyncio.sleep(RECONNECT_DELAY_S)
