Bound the tasks of the jobs that an entry has, and the lines about refused orders

Cause: after clients had submitted a few jobs of 10,000 tasks that need nothing, and had left, no ordinary job was answered for good: in a trial with 20 such jobs 240 s later, all processes alive. The entry had 30,000 runs at one agent; with each connection the agent logged and answered each of them as unknown, which took longer (0.54 of 0.6 s in the log) than the silence of 0.7 s after which the entry closes the connection, and so on. Of the orders of one message that an agent refuses, 50 have a line each.

--- a/onyxfork/direct/admission.py
+++ b/onyxfork/direct/admission.py
@@ -61,7 +61,7 @@
     reason : str
     retry_after_ms : float
     cause : str
-        ``over share``, ``reserve``, ``wait`` or ``other``.
+        ``over share``, ``reserve``, ``wait``, ``tasks`` (the entry has too many) or ``other``.
     """
 
     reason: str
--- a/onyxfork/direct/arbiter_entries.py
+++ b/onyxfork/direct/arbiter_entries.py
@@ -9,7 +9,7 @@
 
 from onyxfork.direct.messages import TaskEvent
 from onyxfork.direct.precedence import start_key
-from onyxfork.direct.run_log import describe_stopped_runs, log_refused_order
+from onyxfork.direct.run_log import describe_stopped_runs, log_refused_orders
 from onyxfork.direct.runs import (
     QUEUED,
     READY,
@@ -81,18 +81,21 @@
                 self.withdraw_run(run, "not expected by its entry", now)
             elif run.state == RUNNING:
                 session.events.append(run.make_event("started", now))
-        for ref in wanted.values():
-            session.events.append(self.find_final_event(session, ref))
+        self.send_final_events(session, wanted.values())
         self.changed = True
 
-    def find_final_event(self, session, ref):
-        """Return the event that ended a run that is not here, as far as this agent knows."""
-        if ref in session.ended_events:
-            return session.ended_events[ref]
-        if ref in self.unclaimed_ends:
-            return TaskEvent(ref.job, ref.step, ref.index, ref.run, self.unclaimed_ends[ref])
-        log_refused_order(session, ref, "never arrived")
-        return returned_event(ref, "never arrived")
+    def send_final_events(self, session, refs):
+        """Send the events that ended runs that are not here, as far as this agent knows."""
+        unknown = []
+        for ref in refs:
+            event = session.ended_events.get(ref)
+            if event is None and ref in self.unclaimed_ends:
+                event = TaskEvent(ref.job, ref.step, ref.index, ref.run, self.unclaimed_ends[ref])
+            if event is None:
+                unknown.append((ref, "never arrived", None))
+                event = returned_event(ref, "never arrived")
+            session.events.append(event)
+        log_refused_orders(session, unknown)
 
     def drop_session(self, session, reason):
         """Remove the session of an entry's process and stop its runs."""
@@ -206,12 +209,13 @@
             log.warning("stale orders returned", extra=fields)
         elif agent_clock is not None:
             session.update_agent_clock(agent_clock)
+        refusals = []
         for order in orders:
             refusal = "stale" if stale else self.find_refusal(session, order)
             if refusal == "":
                 continue
             if refusal is not None:
-                log_refused_order(session, order.ref, refusal, self.runs.get(order.ref.key))
+                refusals.append((order.ref, refusal, self.runs.get(order.ref.key)))
                 session.events.append(returned_event(order.ref, refusal))
                 continue
             run = Run(order, session, now, now + order.slack_ms / 1000)
@@ -219,6 +223,7 @@
             self.count_queued(run, 1)
             key = start_key(run.latest_start, order.priority)
             heapq.heappush(self.queue, (key, next(self.sequence), run))
+        log_refused_orders(session, refusals)
 
     def record_suspension(self, now, seconds):
         """Treat all clock values sent before `now` as stale after a suspension of the machine."""
@@ -253,12 +258,14 @@
 
     def withdraw(self, session, refs, now):
         """Stop runs that their entry has withdrawn; send the final event of those not here."""
+        unknown = []
         for ref in refs:
             run = self.runs.get(ref.key)
             if run is not None and run.session is session and run.order.run == ref.run:
                 self.withdraw_run(run, "withdrawn", now)
             else:
-                session.events.append(self.find_final_event(session, ref))
+                unknown.append(ref)
+        self.send_final_events(session, unknown)
 
     def withdraw_run(self, run, reason, now):
         """Stop a run that its entry does not wait for any more.
--- a/onyxfork/direct/client_limits.py
+++ b/onyxfork/direct/client_limits.py
@@ -2,7 +2,7 @@
 
 from attrs import define, evolve
 
-__all__ = ["ClientLimits"]
+__all__ = ["MAX_HELD_TASKS", "ClientLimits"]
 
 HELD_MEMORY_SHARE = 0.25
 """Share of the machine's memory that connections may hold, and share that tasks may."""
--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -25,6 +25,7 @@
     check_admission,
     check_precedence,
 )
+from onyxfork.direct.client_limits import MAX_HELD_TASKS
 from onyxfork.direct.crashes import CrashTable
 from onyxfork.direct.dispatcher_news import RECOVERY_WINDOW_S, AgentEventMixin
 from onyxfork.direct.estimates import EstimateTable
@@ -91,11 +92,15 @@
         Source of the jitter in placement.
     zone : str
         Availability zone of this entry, whose workers are preferred.
+    max_held_tasks : int
+        Upper bound on the tasks of the jobs that are kept.
 
     Attributes
     ----------
     jobs : dict
         Jobs by identifier, kept until no agent holds a run of the job.
+    held_tasks : int
+        Tasks of these jobs.
     workers : dict of str to WorkerView
         Workers by the node name of their agent.
     waiting_heap : list
@@ -130,14 +135,16 @@
         Use of the known workers by priority.
     """
 
-    def __init__(self, now, rng=None, zone=""):
+    def __init__(self, now, rng=None, zone="", max_held_tasks=MAX_HELD_TASKS):
         self.rng = rng or Random()
         self.zone = zone
         self.recovery_ends_at = self.startup_ends_at = now + RECOVERY_WINDOW_S
         self.evacuated_zones = frozenset()
         self.known_agent_count = 0
         self.shortages = {}
+        self.max_held_tasks = max_held_tasks
         self.jobs = {}
+        self.held_tasks = 0
         self.workers = {}
         self.waiting_heap = []
         self.waiting_tasks = set()
@@ -170,6 +177,9 @@
             The accepted job, which has failed already if a task of it has crashed too many workers;
             or why it is refused.
         """
+        if self.held_tasks + request.task_count > self.max_held_tasks:
+            reason = f"{self.held_tasks} tasks are here, of {self.max_held_tasks} allowed"
+            return Refusal(reason, cause="tasks")
         job = make_job(request, now, self.estimates)
         if self.crash_table.apply_to(job) and self.fail_if_exhausted(job):
             return job
@@ -177,6 +187,7 @@
         if refusal is not None:
             return refusal
         self.jobs[job.id] = job
+        self.held_tasks += len(job.tasks)
         self.use.record_accepted(job)
         for step in request.steps:
             if step.rack:
@@ -283,6 +294,7 @@
         if job.outcome is not None and not job.has_runs_at_agents:
             if self.jobs.get(job.id) is job:
                 del self.jobs[job.id]
+                self.held_tasks -= len(job.tasks)
 
     def abandon_job(self, job, reason):
         """Finish a job that cannot continue.
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -105,7 +105,9 @@
         self.settings = settings
         self.clock = clock
         self.telemetry = telemetry
-        self.dispatcher = Dispatcher(clock.now(), zone=settings.zone)
+        self.dispatcher = Dispatcher(
+            clock.now(), zone=settings.zone, max_held_tasks=settings.max_held_tasks
+        )
         self.load = EntryLoad(clock.now(), TICK_S)
         self.readiness = Readiness()
         self.return_times = ReturnTimes(clock.now(), self.dispatcher.rng)
@@ -122,6 +124,7 @@
         self.subset_review_at = clock.now()
         self.spawn = None
         telemetry.gauge("jobs_inside", lambda: len(self.dispatcher.jobs))
+        telemetry.gauge("tasks_held", lambda: self.dispatcher.held_tasks)
         telemetry.gauge("loop_delay_ms", lambda: round(self.load.delay_ms, 1))
         telemetry.gauge("tasks_waiting", lambda: len(self.dispatcher.waiting_tasks))
         for index in range(MAX_PRIORITIES):
--- a/onyxfork/direct/requests.py
+++ b/onyxfork/direct/requests.py
@@ -77,6 +77,11 @@
     steps: list[Step]
     caller_timeout_ms: float
 
+    @property
+    def task_count(self):
+        """Number of tasks of all steps."""
+        return sum(step.count for step in self.steps)
+
     @property
     def size_core_ms(self):
         """Core-milliseconds of all tasks by the caller's estimate."""
--- a/onyxfork/direct/run_log.py
+++ b/onyxfork/direct/run_log.py
@@ -11,12 +11,15 @@
     "log_stop",
     "log_slow_stop",
     "log_end",
-    "log_refused_order",
+    "log_refused_orders",
     "describe_stopped_runs",
 ]
 
 log = logging.getLogger(__name__)
 
+MAX_REFUSALS_LOGGED = 50
+"""Upper bound on the refused orders of one message that have a line each."""
+
 MAX_RUNS_LOGGED = 50
 """Upper bound on the runs named in one log line."""
 
@@ -111,30 +114,32 @@
     log.info("run ended", extra=fields)
 
 
-def log_refused_order(session, ref, reason, held=None):
-    """Log a run that an entry has ordered or expects, and that was not started here.
+def log_refused_orders(session, refusals):
+    """Log the runs of one message that an entry has ordered or expects and that are not started.
 
     Parameters
     ----------
     session : Session
-    ref : TaskRef
-    reason : str
-    held : Run, optional
-        The run of the same task that is here.
+    refusals : list of (TaskRef, str, Run or None)
+        Each run, why it is refused, and the run of the same task that is here.
     """
-    fields = {
-        "job": ref.job,
-        "task": f"{ref.step}.{ref.index}",
-        "run": ref.run,
-        "entry": session.entry,
-        "entry_process": session.incarnation,
-        "reason": reason,
-    }
-    if held is not None:
-        fields["held_run"] = held.order.run
-        fields["held_entry"] = held.session.entry
-        fields["held_entry_process"] = held.session.incarnation
-    log.info("order refused", extra=fields)
+    for ref, reason, held in refusals[:MAX_REFUSALS_LOGGED]:
+        fields = {
+            "job": ref.job,
+            "task": f"{ref.step}.{ref.index}",
+            "run": ref.run,
+            "entry": session.entry,
+            "entry_process": session.incarnation,
+            "reason": reason,
+        }
+        if held is not None:
+            fields["held_run"] = held.order.run
+            fields["held_entry"] = held.session.entry
+            fields["held_entry_process"] = held.session.incarnation
+        log.info("order refused", extra=fields)
+    if len(refusals) > MAX_REFUSALS_LOGGED:
+        fields = {"entry": session.entry, "orders": len(refusals) - MAX_REFUSALS_LOGGED}
+        log.info("further orders refused", extra=fields)
 
 
 def describe_stopped_runs(runs):
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -133,7 +133,7 @@
     """Tasks that each need the whole worker, or nothing, so that any number of them fits."""
     job = encode_job("3100 50", 10_000, cpu, memory_mb, 0.01)
     path = job_path(QUEUE, CLIENT_ID)
-    crowd = complete_requests("jobs of many tasks", 20, "POST", path, HOST, job)
+    crowd = complete_requests("jobs of many tasks", 60, "POST", path, HOST, job)
     crowd = evolve(crowd, interval_s=interval_s)
     async with run_small_system(tmp_path, limits()) as (system, session):
         async with system.sampled("entry") as usage:
