--- a/onyxfork/platform/standin/calls.py
+++ b/onyxfork/platform/standin/calls.py
@@ -8,6 +8,7 @@
 __all__ = [
     "CONFIGURATION_PATH",
     "DEADLINE_HEADER",
+    "MAX_BODY_BYTES",
     "READY_PATH",
     "agent_settings",
     "control_settings",
@@ -26,6 +27,9 @@
 READY_PATH = "/ready"
 DEADLINE_HEADER = "X-Deadline"
 
+MAX_HEADER_BYTES, MAX_BODY_BYTES = 16384, 262144
+"""Limits on callers' requests in a configuration."""
+
 DEEP_SHARE, DEEP_LEVELS = 0.2, 100_000
 """Share of odd reports that are nested deeply besides, and how deeply."""
 
@@ -78,7 +82,7 @@
         for name, priority in queue_priorities
     ]
     services = [{"name": service, "healthPath": "/health", "rejectsOverload": True}]
-    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144}
+    limits = {"maxHeaderBytes": MAX_HEADER_BYTES, "maxBodyBytes": MAX_BODY_BYTES}
     return json.dumps(
         {"version": version, "routes": routes, "services": services, "limits": limits}
     ).encode()
--- a/onyxfork/workload/soak/cluster.py
+++ b/onyxfork/workload/soak/cluster.py
@@ -22,6 +22,7 @@
     agent_settings,
     control_settings,
     entry_settings,
+    machine_limits,
     node_settings,
 )
 from onyxfork.platform.standin.worker import StandInWorker, run_standin_worker
@@ -38,6 +39,9 @@
 CALLERS_PORT, READY_PORT, CONTROL_HTTP_PORT, WORKER_PORT = 8161, 8167, 8166, 8168
 PORT_OFFSETS = {"control": CONTROL_PORT, "agent": AGENT_PORT, "entry": ENTRY_PORT}
 STOP_GRACE_S = 6.0
+ENTRY_MACHINE = machine_limits(memory_mb=80, descriptors=400)
+"""Machine of an entry, small enough for a crowd of clients to exceed it."""
+
 RESTART_DELAY_S = 0.3
 ADVERTISED_OCTET, LISTENING_OCTET = 0, 1
 """Third octet of the loopback addresses: the address that other processes connect to, which is the
@@ -113,7 +117,7 @@
         fields = node_settings(name, zone, host, INTERNAL_PORTS, control, bootstrap)
         if role == "entry":
             callers, ready = self.address(name, CALLERS_PORT), self.address(name, READY_PORT)
-            text = entry_settings(fields, callers, ready, STOP_GRACE_S)
+            text = entry_settings(fields, callers, ready, STOP_GRACE_S, ENTRY_MACHINE)
         elif role == "agent":
             reports, worker = self.address(name, CONTROL_HTTP_PORT), self.address(name, WORKER_PORT)
             text = agent_settings(fields, reports, worker, SERVICE, STOP_GRACE_S)
--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -3,17 +3,29 @@
 import asyncio
 import signal
 
-from attrs import define, field
-
+from attrs import define, evolve, field
+
+from onyxfork.platform.standin.calls import MAX_BODY_BYTES, job_path
+from onyxfork.platform.standin.crowds import (
+    CLIENT_ID,
+    connect_crowd,
+    header_lines,
+    idle_connections,
+    pipelines,
+    unfinished_bodies,
+    unfinished_headers,
+)
 from onyxfork.platform.standin.worker import drain_and_restart, send_odd_reports
 from onyxfork.workload.proxy import Rule
 from onyxfork.workload.soak.checks import EvacuationRecord
 from onyxfork.workload.soak.cluster import (
+    CALLERS_PORT,
     CONTROL_HTTP_PORT,
     RESTART_DELAY_S,
     STOP_GRACE_S,
 )
-from onyxfork.workload.soak.schedule import UNPLANNED_KINDS
+from onyxfork.workload.soak.load import HOST
+from onyxfork.workload.soak.schedule import CROWD_KINDS, UNPLANNED_KINDS
 
 __all__ = ["FaultInjector"]
 
@@ -32,6 +44,20 @@
 """Length of the incomplete record at the end of a torn log."""
 
 
+def make_crowds(queue):
+    """Return the crowds of clients, whose requests are to a queue."""
+    path, list_path = job_path(queue, CLIENT_ID), f"/{queue}/"
+    crowds = [
+        unfinished_bodies(150, path, HOST, MAX_BODY_BYTES - 64, chunk_bytes=16384),
+        evolve(unfinished_headers(300, path, HOST), reconnects=True),
+        header_lines(100, list_path, HOST, 2700),
+        pipelines(10, list_path, HOST, 2000, reads=False),
+        idle_connections(300),
+    ]
+    assert len(crowds) == CROWD_KINDS
+    return crowds
+
+
 @define(eq=False)
 class FaultInjector:
     """Injects faults; the method ``do_KIND`` injects those of one kind.
@@ -307,6 +333,16 @@
         """Reset the connections of callers to an entry, which send their jobs again."""
         self.callers.reset_connections(fault.target)
 
+    async def do_crowd(self, fault):
+        """Connect a crowd of clients to an entry for the duration of the fault.
+
+        They hold more than the entry's machine has for its clients.
+        """
+        crowd = make_crowds(self.callers.profile.kinds[0].queue)[int(fault.amount)]
+        address = self.cluster.address(fault.target, CALLERS_PORT)
+        async with connect_crowd(crowd, address):
+            await asyncio.sleep(fault.duration_s)
+
     async def do_give_up(self, fault):
         """Let a share of the callers disconnect before they are answered."""
         self.callers.abandoned_share = 0.4
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -73,6 +73,7 @@
     "odd_reports",
     "reset_callers",
     "unanswered",
+    "crowd",
 )
 """Kinds that are drawn from random sequences of their own, so that the other faults of a seed stay
 the same."""
@@ -121,6 +122,10 @@
 RESENT_AFTER_S = 1.3
 """When callers whose connections broke send their jobs again, to other entries."""
 
+MEAN_CROWD_INTERVAL_S = 6.0
+CROWD_KINDS = 5
+"""Mean time between two crowds of clients at an entry, and the number of different crowds."""
+
 EVACUATION_SHARE = 0.5
 """Probability that a schedule has evacuations of zones."""
 
@@ -211,9 +216,9 @@
     amount : float
         Clock step in milliseconds (``step_clock``), delay in seconds (``delay``), or factor of run
         times (``slow``) or of the rate of jobs (``burst``), divisor of the capacity (``shrink``),
-        or share of jobs (``crashing``) or of orders (``unanswered``), or seconds by which the
-        instances with lost disks return later than all others (``lose_power``); other kinds do not
-        use it.
+        or share of jobs (``crashing``) or of orders (``unanswered``), number of the ``crowd``, or
+        seconds by which the instances with lost disks return later than all others
+        (``lose_power``); other kinds do not use it.
     """
 
     at_s: float
@@ -326,6 +331,7 @@
     faults += draw_outages(Random(f"{seed} outages"), seconds, size)
     faults += draw_silences(Random(f"{seed} silences"), seconds, size)
     faults += draw_unanswered(Random(f"{seed} unanswered"), seconds, size)
+    faults += draw_crowds(Random(f"{seed} crowds"), seconds, size)
     if kill_all not in faults:
         faults += draw_power_loss(Random(f"{seed} power"), seconds, size, draw.faults)
     return sorted(faults, key=lambda fault: fault.at_s)
@@ -465,6 +471,17 @@
     return faults
 
 
+def draw_crowds(rng, seconds, size):
+    """Draw crowds of clients at entries; the amount of such a fault is the kind of the crowd."""
+    faults, at_s = [], WARM_UP_S
+    while (at_s := at_s + rng.expovariate(1 / MEAN_CROWD_INTERVAL_S)) < seconds:
+        fault = Fault(at_s, "crowd", rng.choice(size.names("entry")))
+        fault.duration_s = rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+        fault.amount = rng.randrange(CROWD_KINDS)
+        faults.append(fault)
+    return faults
+
+
 def draw_evacuations(rng, seconds, size):
     """Draw evacuations of zones, which may overlap; each zone is evacuated at most once."""
     if rng.random() >= EVACUATION_SHARE:
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -73,6 +74,19 @@
         reconnects=True,
     ),
 ]
+LARGE_MEMORY_MB, LARGE_DESCRIPTORS = 300, 4100
+LARGE_CROWDS = [
+    unfinished_bodies(60, PATH, HOST, BODY_BYTES, chunk_bytes=2),
+    unfinished_bodies(1500, PATH, HOST, BODY_BYTES - 64, chunk_bytes=16384),
+    unfinished_bodies(1500, PATH, HOST, BODY_BYTES - 64),
+    unfinished_bodies(90, PATH, HOST, 4 * 2**20 - 64, chunk_bytes=65536),
+    endless_bodies(60, PATH, HOST, 8 * 2**20),
+    header_lines(500, LIST_PATH, HOST, 2700),
+    pipelines(150, LIST_PATH, HOST, 40_000),
+    pipelines(300, LIST_PATH, HOST, 40_000, reads=False),
+    idle_connections(4500),
+    unfinished_headers(4500, PATH, HOST),
+]
 REPORT_PATH = "/instances/i-2"
 LISTENERS = [
     ("entry", READY_PORT, unfinished_bodies(30, "/ready", HOST, REPORT_BYTES - 64)),
@@ -122,6 +136,21 @@
         assert usage.descriptors <= DESCRIPTORS - RESERVED_DESCRIPTORS
 
 
+@pytest.mark.skipif(os.environ.get("ONYXFORK_CROWDS") != "all", reason="run by hand")
+@pytest.mark.parametrize("crowd", LARGE_CROWDS, ids=crowd_id)
+async def test_entry_of_a_usual_size_beside_a_large_crowd(tmp_path, crowd):
+    machine = {"entry": (LARGE_MEMORY_MB, LARGE_DESCRIPTORS)}
+    async with run_small_system(tmp_path, machine) as (system, session):
+        async with system.sampled("entry") as usage:
+            async with connect_crowd(crowd, system.callers) as clients:
+                await hold(clients)
+                await system.run_job(session)
+        print(f"{crowd.name}: {usage.memory_mb:.0f} MB, {usage.descriptors} descriptors")
+        assert system.processes["entry"].is_running
+        assert usage.memory_mb <= LARGE_MEMORY_MB
+        assert usage.descriptors <= LARGE_DESCRIPTORS - RESERVED_DESCRIPTORS
+
+
 @pytest.mark.parametrize(
     ("cpu", "memory_mb", "interval_s"),
     [(WORKER_CPU, 1, 0.0), (0, 0, 0.0), (0, 0, 0.3)],
--- a/tests/platform/test_http_reader.py
+++ b/tests/platform/test_http_reader.py
@@ -2,8 +2,16 @@
 
 import pytest
 from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
 
-from onyxfork.platform.http_reader import DEFAULT_LIMITS, RequestError, RequestReader
+from onyxfork.platform.http_reader import (
+    DEFAULT_LIMITS,
+    PIECE_BYTES,
+    USED_FIELDS,
+    RequestError,
+    RequestReader,
+)
 
 LIMITS = evolve(DEFAULT_LIMITS, header_bytes=1000, body_bytes=500)
 POST = b"POST /a HTTP/1.1\r\nHost: h\r\n"
@@ -82,3 +90,75 @@
     data = memoryview(b"GET /a HTTP/1.1\r\n\r\n" * 1000)
     assert reader.feed(data) < len(data) / 10
     assert len(requests) < 100
+
+
+HEADER_LINES = st.sampled_from(
+    [
+        b"a: b\r\n",
+        b"a:\r\n",
+        b":b\r\n",
+        b" folded\r\n",
+        b"a\x00: b\r\n",
+        b"a: \xff\r\n",
+        b"Host: h\r\nHost: i\r\n",
+        b"Content-Length: 3\r\n",
+        b"Content-Length: +3\r\n",
+        b"Content-Length: 3, 3\r\n",
+        b"Content-Length: 99999999999999999999\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: gzip\r\n",
+        b"Expect: 100-continue\r\n",
+        b"Connection: close\r\n",
+        b"Upgrade: x\r\nConnection: upgrade\r\n",
+        b"\r\n",
+        b"\n",
+    ]
+)
+BODY_PARTS = st.sampled_from(
+    [
+        b"3\r\nabc\r\n",
+        b"003;e=1\r\nabc\r\n",
+        b"3;" + b"e" * 600 + b"\r\nabc\r\n",
+        b"-1\r\n",
+        b"fffffffffffffffff\r\n",
+        b"1f5\r\n" + b"x" * 501 + b"\r\n",
+        b"0\r\n",
+        b"0;e\r\n",
+        b"t: x\r\n",
+        b"Host: t\r\n",
+        b"\r\n",
+        b"abc",
+        b"x" * 600,
+    ]
+)
+STARTS = st.sampled_from(
+    [
+        b"GET / HTTP/1.1\r\n",
+        b"POST /a HTTP/1.1\r\nHost: h\r\n",
+        b"PUT //x?y HTTP/1.0\r\n",
+        b"\r\n",
+        b"?",
+    ]
+)
+
+
+@given(
+    st.lists(st.tuples(STARTS, st.lists(HEADER_LINES), st.lists(BODY_PARTS)), max_size=4),
+    st.integers(1, 2000),
+)
+def test_odd_requests_are_read_or_refused_and_hold_no_more_than_their_limits(parts, size):
+    data = b"".join(start + b"".join(lines + body) for start, lines, body in parts)
+    requests = []
+    reader = RequestReader(lambda: LIMITS, requests.append, lambda: None)
+    most = LIMITS.header_bytes + LIMITS.body_bytes + LIMITS.header_bytes + 2 * PIECE_BYTES
+    try:
+        for start in range(0, len(data), size):
+            rest = memoryview(data)[start : start + size]
+            while rest:
+                rest = rest[reader.feed(rest) :]
+                assert reader.held_bytes <= most
+    except RequestError as error:
+        assert error.status in (400, 413, 431)
+    for request in requests:
+        assert len(request.body) <= LIMITS.body_bytes
+        assert request.headers.keys() <= {name.decode() for name in USED_FIELDS}
