Keep the answer of a worker in one buffer, and count refused requests by status

Cause: an answer of a worker in chunks of one byte took 90 times its size in an agent's memory, each chunk an object of its own; refused requests were only logged. Change: the client keeps a body in one buffer, like the server; a counter by status.

--- a/onyxfork/direct/connection_budget.py
+++ b/onyxfork/direct/connection_budget.py
@@ -127,6 +127,11 @@
         fields = {"closed": closed, "held_bytes": before, "max_bytes": self.max_bytes}
         self.line.write(**fields, connections=len(self.connections))
 
+    def count_refusal(self, status):
+        """Count a request that was refused before it reached its handler."""
+        if self.telemetry is not None:
+            self.telemetry.count("requests_refused", status=status)
+
     def evict(self, connection, cause):
         """Close one connection and count it; `cause` is what there is too little of."""
         self.remove(connection)
--- a/onyxfork/platform/http.py
+++ b/onyxfork/platform/http.py
@@ -220,6 +220,7 @@
 
     def refuse(self, status, reason):
         """Respond to a request that cannot be parsed, after the complete ones, and close."""
+        self.server.budget.count_refusal(status)
         self.server.refusal_line.write(status=status, reason=reason)
         self.is_refusing = True
         self.reader.close()
--- a/onyxfork/platform/http_client.py
+++ b/onyxfork/platform/http_client.py
@@ -21,6 +21,8 @@
     ----------
     response : asyncio.Future or None
         Receives the status and body of the response to the request in progress.
+    body : bytearray
+        What has arrived of its body.
     is_reusable : bool
         Whether another request may follow.
     """
@@ -29,8 +31,7 @@
         self.transport = None
         self.parser = None
         self.response = None
-        self.chunks = []
-        self.body_bytes = 0
+        self.body = bytearray()
         self.is_reusable = True
 
     def connection_made(self, transport):
@@ -51,11 +52,10 @@
             self.fail(ConnectionError(f"malformed response: {error}"))
 
     def on_body(self, chunk):
-        self.body_bytes += len(chunk)
-        if self.body_bytes > MAX_RESPONSE_BYTES:
+        if len(self.body) + len(chunk) > MAX_RESPONSE_BYTES:
             self.fail(ConnectionError(f"response over {MAX_RESPONSE_BYTES} bytes"))
         else:
-            self.chunks.append(chunk)
+            self.body += chunk
 
     def on_message_complete(self):
         status = self.parser.get_status_code()
@@ -63,7 +63,7 @@
             return
         self.is_reusable = self.is_reusable and self.parser.should_keep_alive()
         if not self.response.done():
-            self.response.set_result((status, b"".join(self.chunks)))
+            self.response.set_result((status, bytes(self.body)))
 
     def fail(self, error):
         """End the request in progress with an error and close the connection."""
@@ -80,7 +80,7 @@
     async def request(self, data):
         """Send the bytes of a request; return the status and the body of the response."""
         self.parser = httptools.HttpResponseParser(self)
-        self.chunks, self.body_bytes = [], 0
+        self.body = bytearray()
         self.response = asyncio.get_running_loop().create_future()
         self.transport.write(data)
         try:
--- a/tests/platform/test_http_protocol.py
+++ b/tests/platform/test_http_protocol.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import tracemalloc
 from contextlib import asynccontextmanager
 
 import pytest
@@ -293,3 +294,29 @@
                 await asyncio.sleep(0.1)
                 writer.write(b"x")
             assert await closed == b""
+
+
+async def test_response_in_chunks_of_one_byte_takes_little_more_memory_than_its_body():
+    body_bytes, chunk = 1_000_000, b"1\r\nx\r\n"
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for _ in range(100):
+            writer.write(chunk * (body_bytes // 100))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        writer.close()
+
+    address = free_address()
+    server = await asyncio.start_server(respond, *address.host_and_port)
+    async with server, open_pool(address, 1) as pool:
+        tracemalloc.start()
+        try:
+            _, body = await pool.post("/", b"", {})
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+    assert len(body) == body_bytes
+    assert peak_bytes < 10 * body_bytes
