A request that has arrived counts as an end of waiting for its connection

Cause: by reading: beside many connections whose requests are handled one after the other, a caller's complete request that waited for its turn could be the first to be closed for a new connection, since its connection counted from when it was opened. Change: the arrival of a complete request moves its connection to the end. Result: test_complete_request_that_waits_for_its_turn_is_not_the_first_to_be_closed; not seen in a run of programs.

--- a/onyxfork/direct/connection_budget.py
+++ b/onyxfork/direct/connection_budget.py
@@ -29,8 +29,8 @@
     is_busy : bool
         Whether a complete request is with its handler.
     unfinished_since : float
-        Monotonic seconds at which the latest request ended or, before the first one, the connection
-        was opened.
+        Monotonic seconds at which the latest request arrived completely or was answered or, before
+        the first one, the connection was opened.
     """
 
     held_bytes = 0
@@ -182,6 +182,12 @@
             self.waiting[connection] = None
         return is_admitted
 
+    def record_arrival(self, connection):
+        """Record that a request of a connection has arrived completely."""
+        connection.unfinished_since = self.budget.clock()
+        if connection in self.waiting:
+            self.waiting.move_to_end(connection)
+
     def set_busy(self, connection, is_busy):
         """Record whether a complete request of a connection is with its handler."""
         connection.is_busy = is_busy
--- a/onyxfork/platform/http.py
+++ b/onyxfork/platform/http.py
@@ -240,6 +240,7 @@
         if isinstance(item, Request):
             item.transport = self.transport
             self.queued_bytes += REQUEST_BYTES + len(item.body)
+            self.server.limit.record_arrival(self)
         self.waiting.append(item)
         if self.handler_task is None:
             self.handler_task = self.loop.create_task(self.handle_waiting())
--- a/tests/direct/test_connection_budget.py
+++ b/tests/direct/test_connection_budget.py
@@ -145,3 +145,14 @@
     clock.advance(5.0)
     limit.set_busy(client, False)
     assert (client.is_busy, client.unfinished_since) == (False, clock.now())
+
+
+def test_complete_request_that_waits_for_its_turn_is_not_the_first_to_be_closed():
+    limit, _, clock = make_limit(2)
+    caller, _ = admit(limit)
+    other, _ = admit(limit)
+    clock.advance(1.0)
+    limit.record_arrival(caller)
+    admit(limit)
+    assert other.is_closed and not caller.is_closed
+    assert caller.unfinished_since == clock.now()
