Release the body of a job while it runs, and protect a connection only for the request in progress

Cause: by reading: a connection with a request in progress goes last when clients hold too much. Accepted jobs kept the bytes of their bodies until they ended, and requests sent behind one in progress were protected with it, so that such connections could fill the budget and every other one was closed before them. Change: the handler takes the body, which is then no longer held or counted; a connection with further requests or bytes counts like one without a request in progress.

--- a/onyxfork/direct/connection_budget.py
+++ b/onyxfork/direct/connection_budget.py
@@ -37,6 +37,11 @@
     is_busy = False
     unfinished_since = 0.0
 
+    @property
+    def is_protected(self):
+        """Whether the connection is closed only after all that are not protected."""
+        return self.is_busy
+
     @abstractmethod
     def evict(self):
         """Release what is held and close the connection."""
@@ -45,8 +50,8 @@
 def rank_connections(connections, now):
     """Return connections in the order in which they are closed.
 
-    Those without a request that is being handled come first, and among them those with the highest
-    product of bytes held and time since they last finished a request.
+    Those that are not protected come first, and among them those with the highest product of bytes
+    held and time since they last finished a request.
 
     Parameters
     ----------
@@ -56,7 +61,7 @@
     """
     return sorted(
         connections,
-        key=lambda item: (item.is_busy, -item.held_bytes * (now - item.unfinished_since)),
+        key=lambda item: (item.is_protected, -item.held_bytes * (now - item.unfinished_since)),
     )
 
 
--- a/onyxfork/platform/callers.py
+++ b/onyxfork/platform/callers.py
@@ -95,10 +95,10 @@
 
     async def run_job(self, request, queue, job_id):
         """Run a job and respond with its outcome."""
-        body = request.body
-        if len(body) > self.limits.body_bytes:
+        if len(request.body) > self.limits.body_bytes:
             return json_response(413, {"error": f"body over {self.limits.body_bytes} bytes"})
-        decoded = decode_job(job_id, queue, body, request.headers.get(DEADLINE_HEADER))
+        timeout_header = request.headers.get(DEADLINE_HEADER)
+        decoded = decode_job(job_id, queue, request.take_body(), timeout_header)
         if decoded.is_err():
             log.info("job rejected", extra={"job": job_id, "reason": decoded.err_value})
             if decoded.err_value.startswith(UNSUPPORTED):
--- a/onyxfork/platform/http.py
+++ b/onyxfork/platform/http.py
@@ -30,33 +30,32 @@
 SHUTDOWN_TIMEOUT_S = 0.3
 """How long a stopping server waits for handlers."""
 
-DISCARD_TIMEOUT_S, MAX_DISCARDED_BYTES = 1.0, 8 * 2**20
-"""How long, and up to how many bytes, the rest of a refused request is discarded before its
-connection is closed. A connection that is closed with unread bytes is reset, and the client loses
-the response."""
-
-
-DEFAULT_CLIENT_LIMITS = ClientLimits()
-
 MAX_ACCEPTS = 8
 """Upper bound on the connections that are accepted in one turn of the event loop. They have their
 descriptors before it is known whether there are too many."""
 
+READ_BYTES = 16384
+"""Upper bound on the bytes of one read."""
+
+RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES = 16384, 32768
+"""Sizes of the kernel's buffers for bytes of a connection that are not read yet, and not sent."""
+
 CONNECTION_BYTES, REQUEST_BYTES = 5120, 1024
 """What a connection, and a request apart from its body, take in memory."""
 
+DISCARD_TIMEOUT_S, MAX_DISCARDED_BYTES = 1.0, 8 * 2**20
+"""How long, and up to how many bytes, the rest of a refused request is discarded before its
+connection is closed. A connection that is closed with unread bytes is reset, and the client loses
+the response."""
+
 EVICTED = json_response(503, {"error": "clients hold too much"}, {"Retry-After": "1"})
 TOO_MANY = json_response(503, {"error": "too many connections"}, {"Retry-After": "1"})
 EVICTED.close = TOO_MANY.close = True
 """Responses before a connection is closed: to a request that is not complete, and before the first
 request."""
 
-
-READ_BYTES = 16384
-"""Upper bound on the bytes of one read."""
-
-RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES = 16384, 32768
-"""Sizes of the kernel's buffers for bytes of a connection that are not read yet, and not sent."""
+DEFAULT_CLIENT_LIMITS = ClientLimits()
+"""Limits of a server that is given none."""
 
 
 class ServerConnection(BudgetedConnection, asyncio.BufferedProtocol):
@@ -99,11 +98,11 @@
 
     def connection_made(self, transport):
         self.transport = transport
-        transport.set_write_buffer_limits(self.server.limits.unsent_bytes)
+        transport.set_write_buffer_limits(self.server.client_limits.unsent_bytes)
         self.server.connections.add(self)
         self.server.budget.add(self)
         self.set_timer(self.server.read_limits().idle_timeout_s)
-        if self.server.limit.admit(self):
+        if self.server.connection_limit.admit(self):
             self.update_held_bytes()
         else:
             self.is_refusing = True
@@ -113,7 +112,7 @@
     def connection_lost(self, error):
         self.server.connections.discard(self)
         self.server.budget.remove(self)
-        self.server.limit.remove(self)
+        self.server.connection_limit.remove(self)
         self.timer.cancel()
         self.reader.close()
         if self.handler_task is not None:
@@ -144,7 +143,7 @@
         reader = self.reader
         was_in_request, had_header = reader.is_in_request, reader.headers_complete
         try:
-            parsed_bytes = self.reader.feed(data)
+            parsed_bytes = reader.feed(data)
         except RequestError as error:
             self.refuse(error.status, str(error))
             return
@@ -153,7 +152,7 @@
                 self.set_timer(reader.limits.idle_timeout_s)
         elif not was_in_request or reader.headers_complete != had_header:
             in_body = reader.headers_complete
-            limit_s = self.server.limits.body_timeout_s
+            limit_s = self.server.client_limits.body_timeout_s
             self.set_timer(limit_s if in_body else reader.limits.header_timeout_s)
         if parsed_bytes < len(data):
             self.postpone(data[parsed_bytes:])
@@ -183,6 +182,16 @@
             received_bytes += len(self.unparsed) + RECEIVE_BUFFER_BYTES
         self.server.budget.hold(self, CONNECTION_BYTES + received_bytes + unsent_bytes)
 
+    def on_body_taken(self, size):
+        """Record that a handler has taken the body of its request."""
+        self.queued_bytes -= size
+        self.update_held_bytes()
+
+    @property
+    def is_protected(self):
+        """Whether only a request that is being handled keeps the connection open."""
+        return self.is_busy and not self.waiting and not self.unparsed
+
     def evict(self):
         """Release what is held and close the connection.
 
@@ -239,8 +248,9 @@
         """Add a request, or the response to one that was refused, to those to be handled."""
         if isinstance(item, Request):
             item.transport = self.transport
+            item.on_body_taken = self.on_body_taken
             self.queued_bytes += REQUEST_BYTES + len(item.body)
-            self.server.limit.record_arrival(self)
+            self.server.connection_limit.record_arrival(self)
         self.waiting.append(item)
         if self.handler_task is None:
             self.handler_task = self.loop.create_task(self.handle_waiting())
@@ -269,7 +279,7 @@
             self.transport.write(item.encode())
             self.discard_rest()
             return
-        self.server.limit.set_busy(self, True)
+        self.server.connection_limit.set_busy(self, True)
         response = await self.call_handler(item)
         self.finish_request(item)
         if not (item.keep_alive and self.server.is_open):
@@ -292,7 +302,7 @@
 
     def finish_request(self, request):
         """Record that a request was handled."""
-        self.server.limit.set_busy(self, False)
+        self.server.connection_limit.set_busy(self, False)
         self.queued_bytes -= REQUEST_BYTES + len(request.body)
 
     def discard_rest(self):
@@ -320,9 +330,9 @@
     handler : coroutine function
     read_limits : callable
         Returns the `RequestLimits` in force.
-    limits : ClientLimits
+    client_limits : ClientLimits
     budget : ConnectionBudget
-    limit : ConnectionLimit
+    connection_limit : ConnectionLimit
     quota : TurnQuota
     connections : set of ServerConnection
     is_open : bool
@@ -334,9 +344,9 @@
 
     handler: object
     read_limits: object
-    limits: ClientLimits
+    client_limits: ClientLimits
     budget: ConnectionBudget
-    limit: ConnectionLimit
+    connection_limit: ConnectionLimit
     quota: TurnQuota
     connections: set = field(factory=set)
     is_open: bool = True
@@ -371,30 +381,45 @@
     backlog : int
         How many connections may wait to be accepted.
     """
-    budget = budget or ConnectionBudget(limits.held_bytes)
     loop = asyncio.get_running_loop()
-    limit = ConnectionLimit(limits.connections, budget)
-    quota = TurnQuota(loop, limits.turn_s)
-    state = ServerState(handler, read_limits, limits, budget, limit, quota)
-    listener = socket.create_server(address.host_and_port)
-    # Accepted connections inherit the sizes.
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    budget = budget or ConnectionBudget(limits.held_bytes)
+    state = ServerState(
+        handler,
+        read_limits,
+        limits,
+        budget,
+        ConnectionLimit(limits.connections, budget),
+        TurnQuota(loop, limits.turn_s),
+    )
+    listener = open_listener(address)
     server = await loop.create_server(
         lambda: ServerConnection(state), sock=listener, backlog=MAX_ACCEPTS
     )
-    # The event loop has set the queue's length to its number of accepts in a turn.
+    # The event loop has set the length of the queue to its number of accepts in a turn.
     listener.listen(backlog)
     try:
         yield server
     finally:
         state.is_open = False
         server.close()
-        tasks = [item.handler_task for item in state.connections if item.handler_task is not None]
-        if tasks:
-            await asyncio.wait(tasks, timeout=SHUTDOWN_TIMEOUT_S)
-        for connection in list(state.connections):
-            if connection.handler_task is None:
-                connection.transport.close()
-            else:
-                connection.transport.abort()
+        await close_connections(state.connections)
+
+
+def open_listener(address):
+    """Return a listening socket; accepted connections inherit the sizes of its buffers."""
+    listener = socket.create_server(address.host_and_port)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    return listener
+
+
+async def close_connections(connections):
+    """Close connections, after the requests in progress unless these take too long."""
+    tasks = [item.handler_task for item in connections if item.handler_task is not None]
+    if tasks:
+        await asyncio.wait(tasks, timeout=SHUTDOWN_TIMEOUT_S)
+    for connection in list(connections):
+        if connection.handler_task is None:
+            connection.transport.close()
+        else:
+            connection.transport.abort()
--- a/onyxfork/platform/http_messages.py
+++ b/onyxfork/platform/http_messages.py
@@ -37,6 +37,8 @@
         Whether the client keeps the connection open.
     transport : asyncio.Transport or None
         The client's connection.
+    on_body_taken : callable or None
+        Called with the size of the body that the handler has taken.
     """
 
     method: str
@@ -45,6 +47,14 @@
     body: bytes = b""
     keep_alive: bool = True
     transport: object = None
+    on_body_taken: object = None
+
+    def take_body(self):
+        """Return the body, which is no longer kept for a request that takes long."""
+        body, self.body = self.body, b""
+        if self.on_body_taken is not None:
+            self.on_body_taken(len(body))
+        return body
 
 
 @define(slots=True)
--- a/onyxfork/platform/http_reader.py
+++ b/onyxfork/platform/http_reader.py
@@ -178,10 +178,8 @@
         self.headers_complete = True
         # Trailers have a limit of their own.
         self.field_bytes = 0
-        # The parser has checked that the length consists of digits.
-        length = self.headers.get("content-length", "")
-        digits = len(str(self.limits.body_bytes))
-        if len(length.lstrip("0")) > digits or int(length or 0) > self.limits.body_bytes:
+        # The parser has checked that the length is a number.
+        if int(self.headers.get("content-length", 0)) > self.limits.body_bytes:
             raise self.body_error()
         if self.headers.get("expect", "").lower() == "100-continue":
             self.on_expect_continue()
--- a/tests/platform/test_http_protocol.py
+++ b/tests/platform/test_http_protocol.py
@@ -320,3 +320,54 @@
             tracemalloc.stop()
     assert len(body) == body_bytes
     assert peak_bytes < 10 * body_bytes
+
+
+async def test_body_that_the_handler_has_taken_is_not_held_while_the_request_goes_on():
+    taken, finish = asyncio.Event(), asyncio.Event()
+
+    async def handle(request):
+        body = request.take_body()
+        taken.set()
+        await finish.wait()
+        return Response(body=str(len(body)).encode())
+
+    address, budget = free_address(), ConnectionBudget(10**6)
+    async with run_server(handle, address, budget=budget), open_pool(address, 1) as pool:
+        answer = asyncio.create_task(pool.post("/", b"x" * 200_000, {}))
+        async with asyncio.timeout(TIMEOUT_S):
+            await taken.wait()
+            assert budget.held_bytes < 10_000
+            finish.set()
+            assert (await answer)[1] == b"200000"
+            while budget.held_bytes > 6000:
+                await asyncio.sleep(0.01)
+        assert budget.held_bytes > 0
+
+
+async def test_requests_sent_behind_one_in_progress_do_not_protect_their_connection():
+    arrived = asyncio.Event()
+
+    async def handle(request):
+        if request.path == "/slow":
+            arrived.set()
+            await asyncio.Event().wait()
+        return await echo(request)
+
+    address, budget = free_address(), ConnectionBudget(60_000)
+    async with run_server(handle, address, budget=budget), open_pool(address, 1) as pool:
+        assert (await pool.post("/a", b"", {}))[0] == 200
+        readers = []
+        for _ in range(2):
+            reader, writer = await asyncio.open_connection(*address.host_and_port)
+            writer.write(b"GET /slow HTTP/1.1\r\n\r\n")
+            async with asyncio.timeout(TIMEOUT_S):
+                await arrived.wait()
+            arrived.clear()
+            writer.write(b"GET /b HTTP/1.1\r\n\r\n" * 1000)
+            await writer.drain()
+            readers.append(reader)
+        async with asyncio.timeout(TIMEOUT_S):
+            with contextlib.suppress(ConnectionResetError):
+                assert await readers[0].read() == b""
+        assert (await pool.post("/c", b"", {}))[0] == 200
+        assert len(pool.idle) == 1
