--- a/review/11/run.py
+++ b/review/11/run.py
@@ -13,8 +13,10 @@
 
 HOST, PREFIX = "jobs.example", "/q1/"
 TIME_LIMIT_MS, RESEND_S = 1500, 1.3
-FREEZE_S, ROUNDS = 3.4, 4
-JOBS, SENT_WITHIN_S, TASK_MS = 200, 0.6, 900
+FREEZE_S, ROUNDS = 3.4, 8
+JOBS, GAP_S, TASK_MS = 5, 0.1, 900
+FROZEN = ("entry-1", "agent-1")
+"""Two of 19 machines."""
 
 
 async def attempt(rig, name, job, entry):
@@ -34,7 +36,7 @@
 async def client(rig, delay_s):
     """Send a job, and again `RESEND_S` after no response, to the other entry."""
     await asyncio.sleep(delay_s)
-    name, job = job_id(), make_job(TASK_MS, cpu=60)
+    name, job = job_id(), make_job(TASK_MS, cpu=300)
     for entry in ("entry-1", "entry-2", "entry-2"):
         if await attempt(rig, name, job, entry) not in (None, 502, 504):
             return
@@ -64,12 +66,13 @@
     await rig.start_all(make_config(1, [("r1", HOST, PREFIX, "svc1", TIME_LIMIT_MS)]))
     for _ in range(ROUNDS):
         if TROUBLE:
-            rig.signal("entry-1", signal.SIGSTOP)
-        clients = [asyncio.create_task(client(rig, 0.05 + SENT_WITHIN_S * n / JOBS))
-                   for n in range(JOBS)]
+            for name in FROZEN:
+                rig.signal(name, signal.SIGSTOP)
+        clients = [asyncio.create_task(client(rig, 0.05 + GAP_S * n)) for n in range(JOBS)]
         await asyncio.sleep(FREEZE_S)
         if TROUBLE:
-            rig.signal("entry-1", signal.SIGCONT)
+            for name in FROZEN:
+                rig.signal(name, signal.SIGCONT)
         await asyncio.gather(*clients)
         await asyncio.sleep(5.0)
     overlaps = find_overlaps(rig)
@@ -82,4 +85,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, HERE, agents=3, entries=2))
+    sys.exit(run_case(case, HERE, controls=3, agents=12, entries=4))
