--- a/review/common-3/rig.py
+++ b/review/common-3/rig.py
@@ -264,6 +264,9 @@
         except (CannotRun, TimeoutError) as error:
             rig.say(f"the case could not run: {error or 'time is up'}")
             return 2
+        except Exception as error:
+            rig.say(f"the case could not run: {error!r}")
+            return 2
         finally:
             await rig.close()
 
