An entry starts nothing for a caller whose connection has ended

Cause: a complete request is handled in the turn of the event loop after it was read; the end of its connection lies behind it in the socket and is read later. Change: an epoll of all callers' connections (HangupWatch), asked for ended ones when a job arrives and before each search for workers, so also for tasks that waited.

--- a/onyxfork/direct/dispatcher.py
+++ b/onyxfork/direct/dispatcher.py
@@ -94,6 +94,8 @@
         Availability zone of this entry, whose workers are preferred.
     max_held_tasks : int
         Upper bound on the tasks of the jobs that are kept.
+    cancel_departed : callable, optional
+        Called before tasks are placed, to cancel the jobs whose callers have left.
 
     Attributes
     ----------
@@ -135,9 +137,10 @@
         Use of the known workers by priority.
     """
 
-    def __init__(self, now, rng=None, zone="", max_held_tasks=MAX_HELD_TASKS):
+    def __init__(self, now, rng=None, zone="", max_held_tasks=MAX_HELD_TASKS, cancel_departed=None):
         self.rng = rng or Random()
         self.zone = zone
+        self.cancel_departed = cancel_departed
         self.recovery_ends_at = self.startup_ends_at = now + RECOVERY_WINDOW_S
         self.evacuated_zones = frozenset()
         self.known_agent_count = 0
@@ -334,6 +337,8 @@
             Whether only reports or events have arrived since the latest search, which is then
             shorter.
         """
+        if self.cancel_departed is not None:
+            self.cancel_departed()
         max_skipped = MAX_SKIPPED_TASKS_ON_REPORT if on_report else MAX_SKIPPED_TASKS
         max_unqueued = 1 if on_report else MAX_MISFITS
         unqueued = set()
--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -11,6 +11,7 @@
 from onyxfork.direct.documents import decompress_document
 from onyxfork.direct.entry_load import EntryLoad, Readiness, job_slack_ms
 from onyxfork.direct.entry_stop import ends_before
+from onyxfork.direct.hangups import Caller, open_hangup_watch
 from onyxfork.direct.jobs import longest_chain_ms
 from onyxfork.direct.links import ControlLinks, Dialer
 from onyxfork.direct.messages import (
@@ -29,7 +30,7 @@
 )
 from onyxfork.direct.placement import can_ever_run
 from onyxfork.direct.precedence import MAX_PRIORITIES
-from onyxfork.direct.requests import CANCELLED, REFUSED, JobOutcome
+from onyxfork.direct.requests import CANCELLED, REFUSED, UNKNOWN, JobOutcome
 from onyxfork.direct.return_times import ReturnTimes, job_work
 from onyxfork.errors import ProtocolError
 from onyxfork.messages import serve
@@ -63,6 +64,9 @@
 WANTED_LABEL_RETENTION_S = 5.0
 """How long after the latest shortage the additional agents of a label stay assigned."""
 
+CALLER_LEFT = "the caller has disconnected"
+"""Reason of the outcome of a job whose caller has left."""
+
 SUBSET_INTERVAL_S = 0.1
 """Interval at which the requests for additional agents and for a first configuration are
 reviewed."""
@@ -99,6 +103,8 @@
         Monotonic seconds at which a planned stop began.
     spawn : callable or None
         Starts a background task of the process; set by `run_entry`.
+    hangup_watch : HangupWatch or None
+        Notices that callers have left; set by `run_entry`.
     """
 
     def __init__(self, settings, clock, telemetry):
@@ -106,7 +112,10 @@
         self.clock = clock
         self.telemetry = telemetry
         self.dispatcher = Dispatcher(
-            clock.now(), zone=settings.zone, max_held_tasks=settings.max_held_tasks
+            clock.now(),
+            zone=settings.zone,
+            max_held_tasks=settings.max_held_tasks,
+            cancel_departed=self.cancel_departed,
         )
         self.load = EntryLoad(clock.now(), TICK_S)
         self.readiness = Readiness()
@@ -123,6 +132,7 @@
         self.message_counter = telemetry.make_message_counter("agent")
         self.subset_review_at = clock.now()
         self.spawn = None
+        self.hangup_watch = None
         telemetry.gauge("jobs_inside", lambda: len(self.dispatcher.jobs))
         telemetry.gauge("tasks_held", lambda: self.dispatcher.held_tasks)
         telemetry.gauge("loop_delay_ms", lambda: round(self.load.delay_ms, 1))
@@ -165,17 +175,42 @@
         except TimeoutError:
             log.info("request refused", extra={"reason": "there is no configuration yet"})
 
-    async def run_job(self, request):
+    def cancel_departed(self):
+        """Cancel the jobs whose callers have left; `flush` sends what follows from that."""
+        if self.hangup_watch is not None:
+            self.hangup_watch.look()
+
+    def on_hangup(self):
+        """Stop the jobs whose callers have left."""
+        self.cancel_departed()
+        self.flush()
+
+    def cancel_request(self, request):
+        """Cancel the job of a request if it was accepted."""
+        job = self.dispatcher.jobs.get(request.job)
+        if job is not None and job.request is request:
+            self.dispatcher.cancel(job, CALLER_LEFT)
+
+    async def run_job(self, request, caller=None):
         """Run a job and return its `JobOutcome`; cancelling the coroutine stops the job.
 
         Parameters
         ----------
         request : JobRequest
+        caller : Caller, optional
+            Who waits for the outcome. If the caller has left nothing is started, and the job is
+            stopped once it leaves.
 
         Returns
         -------
         JobOutcome
         """
+        caller = caller or Caller()
+        self.on_hangup()
+        if caller.has_left:
+            log.info("job not started", extra={"job": request.job, "reason": CALLER_LEFT})
+            self.telemetry.count("jobs", queue=request.queue.name, state=UNKNOWN)
+            return JobOutcome(UNKNOWN, CALLER_LEFT)
         now = self.clock.now()
         if self.stop_started_at is not None and not self.ends_before_stop(request, now):
             return self.refused_outcome(request, Refusal("this entry is about to stop"))
@@ -183,8 +218,11 @@
         if self.answer_futures and self.load.exceeds_share(slack_ms):
             reason = f"this entry is overloaded: it runs {self.load.delay_ms:.0f} ms late"
             return self.refused_outcome(request, Refusal(reason))
+        # Before tasks are placed, which looks at the connections again.
+        caller.on_left = partial(self.cancel_request, request)
         result = self.dispatcher.submit(request, now)
         if isinstance(result, Refusal):
+            caller.on_left = None
             return self.refused_outcome(request, result)
         future = asyncio.get_running_loop().create_future()
         self.answer_futures[result] = future
@@ -195,10 +233,11 @@
         try:
             return await future
         except asyncio.CancelledError:
-            self.dispatcher.cancel(result, "the caller has disconnected")
+            self.dispatcher.cancel(result, CALLER_LEFT)
             self.flush()
             raise
         finally:
+            caller.on_left = None
             self.answer_futures.pop(result, None)
 
     def cancel_job(self, queue, job_id):
@@ -540,10 +579,11 @@
     settings = entry.settings
     listen = settings.listen
     server = serve(listen.host, listen.port, entry.hello, settings.timing, entry.accept)
-    async with owned_tasks() as spawn:
-        entry.spawn = spawn
-        entry.control.set_own_address(str(settings.address))
-        async with server:
-            spawn(entry.control.run(spawn))
-            spawn(entry.run_ticks())
-            yield entry
+    with open_hangup_watch() as hangup_watch:
+        async with owned_tasks() as spawn:
+            entry.spawn, entry.hangup_watch = spawn, hangup_watch
+            entry.control.set_own_address(str(settings.address))
+            async with server:
+                spawn(entry.control.run(spawn))
+                spawn(entry.run_ticks())
+                yield entry
--- a/onyxfork/platform/callers.py
+++ b/onyxfork/platform/callers.py
@@ -104,7 +104,7 @@
             if decoded.err_value.startswith(UNSUPPORTED):
                 return make_refusal(decoded.err_value, None)
             return json_response(400, {"error": decoded.err_value})
-        return encode_outcome(await self.entry.run_job(decoded.ok_value))
+        return encode_outcome(await self.entry.run_job(decoded.ok_value, request.caller))
 
 
 def make_refusal(reason, retry_after_s):
--- a/onyxfork/platform/http.py
+++ b/onyxfork/platform/http.py
@@ -75,6 +75,8 @@
         What the requests hold that are complete and not answered yet.
     unparsed : bytes
         Bytes that follow complete requests; reading is paused until they are parsed.
+    caller : Caller or None
+        Whether the client has left, if the server watches for that.
     handler_task : asyncio.Task or None
         Handles the waiting requests; cancelled when the client disconnects.
     """
@@ -93,6 +95,7 @@
         self.discarded_bytes = 0
         self.queued_bytes = 0
         self.unparsed = b""
+        self.caller = None
 
     # Transport
 
@@ -101,6 +104,8 @@
         transport.set_write_buffer_limits(self.server.client_limits.unsent_bytes)
         self.server.connections.add(self)
         self.server.budget.add(self)
+        if self.server.hangup_watch is not None:
+            self.caller = self.server.hangup_watch.add(transport.get_extra_info("socket"))
         self.set_timer(self.server.read_limits().idle_timeout_s)
         if self.server.connection_limit.admit(self):
             self.update_held_bytes()
@@ -113,6 +118,8 @@
         self.server.connections.discard(self)
         self.server.budget.remove(self)
         self.server.connection_limit.remove(self)
+        if self.caller is not None:
+            self.server.hangup_watch.remove(self.transport.get_extra_info("socket"))
         self.timer.cancel()
         self.reader.close()
         if self.handler_task is not None:
@@ -248,6 +255,7 @@
         """Add a request, or the response to one that was refused, to those to be handled."""
         if isinstance(item, Request):
             item.transport = self.transport
+            item.caller = self.caller
             item.on_body_taken = self.on_body_taken
             self.queued_bytes += REQUEST_BYTES + len(item.body)
             self.server.connection_limit.record_arrival(self)
@@ -334,6 +342,8 @@
     budget : ConnectionBudget
     connection_limit : ConnectionLimit
     quota : TurnQuota
+    hangup_watch : HangupWatch or None
+        Notices that a client has left while its connection is not read.
     connections : set of ServerConnection
     is_open : bool
         False once the server is stopping.
@@ -348,6 +358,7 @@
     budget: ConnectionBudget
     connection_limit: ConnectionLimit
     quota: TurnQuota
+    hangup_watch: object = None
     connections: set = field(factory=set)
     is_open: bool = True
     refusal_line: BoundedLine = field(factory=lambda: BoundedLine(log, "request refused"))
@@ -362,6 +373,7 @@
     budget=None,
     limits=DEFAULT_CLIENT_LIMITS,
     backlog=512,
+    hangup_watch=None,
 ):
     """Serve HTTP requests with a handler while the context is open.
 
@@ -380,6 +392,8 @@
     limits : ClientLimits
     backlog : int
         How many connections may wait to be accepted.
+    hangup_watch : HangupWatch, optional
+        Gives each request its `Caller`.
     """
     loop = asyncio.get_running_loop()
     budget = budget or ConnectionBudget(limits.held_bytes)
@@ -390,6 +404,7 @@
         budget,
         ConnectionLimit(limits.connections, budget),
         TurnQuota(loop, limits.turn_s),
+        hangup_watch,
     )
     listener = open_listener(address)
     server = await loop.create_server(
--- a/onyxfork/platform/http_messages.py
+++ b/onyxfork/platform/http_messages.py
@@ -39,6 +39,8 @@
         The client's connection.
     on_body_taken : callable or None
         Called with the size of the body that the handler has taken.
+    caller : Caller or None
+        Tells whether the client has left; None if the server does not watch for that.
     """
 
     method: str
@@ -48,6 +50,7 @@
     keep_alive: bool = True
     transport: object = None
     on_body_taken: object = None
+    caller: object = None
 
     def take_body(self):
         """Return the body, which is no longer kept for a request that takes long."""
--- a/onyxfork/platform/programs.py
+++ b/onyxfork/platform/programs.py
@@ -70,6 +70,7 @@
             callers.read_limits,
             budget,
             settings.client_limits,
+            hangup_watch=entry.hangup_watch,
         ),
     ):
         yield reload, entry.stop
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -76,7 +76,7 @@
     def find_job(self, queue, job_id):
         return None
 
-    async def run_job(self, request):
+    async def run_job(self, request, caller=None):
         self.requests.append(request)
         if self.outcome is not None:
             return self.outcome
