A caller's end is noticed while its connection is not read

Cause: reading is paused while bytes behind a request wait for its answer, and asyncio reports neither an end nor a reset of a connection that is not read. Change: the event loop is told by the epoll of HangupWatch, which reports an end whatever is unread, and the entry stops the jobs of those callers in that turn. Requests behind the job are handled as before. Left: an end behind more bytes than the entry's receive buffer takes has not reached its machine.

--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -579,7 +579,8 @@
     settings = entry.settings
     listen = settings.listen
     server = serve(listen.host, listen.port, entry.hello, settings.timing, entry.accept)
-    with open_hangup_watch() as hangup_watch:
+    loop = asyncio.get_running_loop()
+    with open_hangup_watch(loop, entry.on_hangup) as hangup_watch:
         async with owned_tasks() as spawn:
             entry.spawn, entry.hangup_watch = spawn, hangup_watch
             entry.control.set_own_address(str(settings.address))
--- a/onyxfork/direct/hangups.py
+++ b/onyxfork/direct/hangups.py
@@ -91,7 +91,18 @@
 
 
 @contextmanager
-def open_hangup_watch():
-    """Yield a `HangupWatch`."""
+def open_hangup_watch(loop, on_hangup):
+    """Yield a `HangupWatch`, and call `on_hangup` whenever a connection has ended.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+    on_hangup : callable
+        Has to call `HangupWatch.look`.
+    """
     with select.epoll() as epoll:
-        yield HangupWatch(epoll)
+        loop.add_reader(epoll.fileno(), on_hangup)
+        try:
+            yield HangupWatch(epoll)
+        finally:
+            loop.remove_reader(epoll.fileno())
--- a/tests/direct/test_hangups.py
+++ b/tests/direct/test_hangups.py
@@ -1,5 +1,6 @@
 """Ends of connections that are noticed before what the connections hold is read."""
 
+import asyncio
 import socket
 import struct
 from contextlib import contextmanager
@@ -34,7 +35,8 @@
 @pytest.mark.parametrize("by", ["close", "shutdown", "reset"])
 @pytest.mark.parametrize("unread", [b"", b"x" * 4096])
 async def test_end_is_noticed_behind_unread_bytes(by, unread):
-    with open_hangup_watch() as watch, connected_pair() as (client, server):
+    loop = asyncio.get_running_loop()
+    with open_hangup_watch(loop, lambda: None) as watch, connected_pair() as (client, server):
         caller = watch.add(server)
         client.sendall(unread)
         watch.look()
@@ -46,7 +48,8 @@
 
 
 async def test_one_look_finds_all_that_have_left_and_no_others():
-    with open_hangup_watch() as watch:
+    loop = asyncio.get_running_loop()
+    with open_hangup_watch(loop, lambda: None) as watch:
         pairs, left = [connected_pair() for _ in range(200)], []
         sockets = [pair.__enter__() for pair in pairs]
         callers = [watch.add(server) for _, server in sockets]
@@ -63,8 +66,21 @@
             pair.__exit__(None, None, None)
 
 
+async def test_event_loop_is_told_of_an_end_that_nobody_reads():
+    loop, told = asyncio.get_running_loop(), asyncio.Event()
+    with open_hangup_watch(loop, told.set) as watch, connected_pair() as (client, server):
+        caller = watch.add(server)
+        client.sendall(b"x" * 4096)
+        leave(client, "reset")
+        async with asyncio.timeout(10):
+            await told.wait()
+        watch.look()
+        assert caller.has_left
+
+
 async def test_descriptor_that_is_used_again_has_a_caller_of_its_own():
-    with open_hangup_watch() as watch:
+    loop = asyncio.get_running_loop()
+    with open_hangup_watch(loop, lambda: None) as watch:
         with connected_pair() as (client, server):
             former = watch.add(server)
             leave(client, "close")
--- a/tests/platform/test_departed_callers.py
+++ b/tests/platform/test_departed_callers.py
@@ -133,6 +133,23 @@
             await until(lambda: set(entry.dispatcher.jobs) == {f"{0:016x}"})
 
 
+# Guards against TWICE: reading is paused while a request waits behind the job, so that the end of
+# the connection was noticed only after the job had ended.
+async def test_runs_are_stopped_when_a_caller_leaves_whose_next_request_waits():
+    worker = StandInWorker()
+    async with run_front(worker) as (entry, address):
+        with connect(address) as (sock,):
+            step = {**STEP, "count": 2, "estimatedMs": 50_000}
+            sock.sendall(request_bytes("POST", 1, step) + BEHIND)
+            await until(lambda: len(worker.running) == 2)
+            (job,) = entry.dispatcher.jobs.values()
+            leave([sock])
+            await until(lambda: job.outcome is not None)
+            assert job.outcome.reason == "the caller has disconnected"
+            await until(lambda: len(worker.stopped) == 2 and not entry.dispatcher.jobs)
+            await until(lambda: not entry.hangup_watch.callers)
+
+
 async def test_request_to_cancel_is_carried_out_though_its_sender_has_left():
     worker = StandInWorker()
     async with run_front(worker) as (entry, address):
