A pause of an entry isn't load

What callers saw: an entry that had been frozen for half a second refused most of the callers who still waited as "overloaded", for the next five ticks, with servers free. Cause: EntryLoad took the lateness of the one tick after the freeze for load. Change: an interval between ticks that is late, and in which the process used less than a tenth of a core (getrusage, all threads), is left out. Load uses processor time, a frozen process doesn't.

--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -117,7 +117,7 @@
             max_held_tasks=settings.max_held_tasks,
             cancel_departed=self.cancel_departed,
         )
-        self.load = EntryLoad(clock.now(), TICK_S)
+        self.load = EntryLoad(clock.now(), TICK_S, clock.used_s())
         self.readiness = Readiness()
         self.return_times = ReturnTimes(clock.now(), self.dispatcher.rng)
         self.configured = asyncio.Event()
@@ -505,7 +505,7 @@
 
     def tick(self, now):
         """Apply the changes that depend on time alone."""
-        self.load.record_tick(now)
+        self.load.record_tick(now, self.clock.used_s())
         self.update_readiness(now)
         self.dispatcher.tick(now)
         self.return_times.observe(self.dispatcher, now)
--- a/onyxfork/direct/entry_load.py
+++ b/onyxfork/direct/entry_load.py
@@ -37,6 +37,10 @@
 AVERAGE_S = 0.5
 """Time constant of the average delay."""
 
+MIN_USED_SHARE = 0.1
+"""An interval between ticks in which the process used less of a core than this was a pause: it was
+frozen, or the machine ran something else. Load uses processor time."""
+
 RECENT_TICKS = 5
 """The delay counts as at most that of the latest of this many ticks, so that a single pause of the
 process is over with the next punctual ticks."""
@@ -57,6 +61,8 @@
         Monotonic seconds.
     tick_s : float
         Interval of the ticks.
+    used_s : float
+        Processor time of the process in seconds.
 
     Attributes
     ----------
@@ -66,16 +72,28 @@
         Delays of the latest ticks.
     """
 
-    def __init__(self, now, tick_s):
+    def __init__(self, now, tick_s, used_s=0.0):
         self.tick_s = tick_s
         self.ticked_at = now
+        self.used_s = used_s
         self.average_ms = 0.0
         self.recent_ms = deque([0.0], RECENT_TICKS)
 
-    def record_tick(self, now):
-        """Record that a tick runs now."""
+    def record_tick(self, now, used_s):
+        """Record that a tick runs now, unless the process has paused since the latest one.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        used_s : float
+            Processor time of the process in seconds.
+        """
         elapsed_s, self.ticked_at = now - self.ticked_at, now
+        used_share, self.used_s = (used_s - self.used_s) / max(elapsed_s, self.tick_s), used_s
         late_ms = max(0.0, elapsed_s - self.tick_s) * 1000
+        if late_ms > GOOD_DELAY_MS and used_share < MIN_USED_SHARE:
+            return
         self.average_ms += (1 - math.exp(-elapsed_s / AVERAGE_S)) * (late_ms - self.average_ms)
         self.recent_ms.append(late_ms)
 
--- a/onyxfork/utils/clock.py
+++ b/onyxfork/utils/clock.py
@@ -4,6 +4,7 @@
 so that the same code runs in a daemon and in a test.
 """
 
+import resource
 import time
 from abc import ABC, abstractmethod
 from pathlib import Path
@@ -26,6 +27,11 @@
         """Return the seconds since boot that the machine was suspended; `now` excludes them."""
         return 0.0
 
+    def used_s(self):
+        """Return the processor time of this process in seconds, of all its threads."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return usage.ru_utime + usage.ru_stime
+
 
 class SystemClock(Clock):
     """The clocks of the operating system."""
--- a/tests/platform/test_departed_callers.py
+++ b/tests/platform/test_departed_callers.py
@@ -73,6 +73,11 @@
         time.sleep(0.001)
 
 
+def stand_still(seconds):
+    """Block the event loop without using processor time, as in a frozen process."""
+    time.sleep(seconds)
+
+
 def tcp_state(sock):
     """Return the state of a TCP socket as a number."""
     return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
@@ -161,3 +166,22 @@
             await until(lambda: worker.stopped and not entry.dispatcher.jobs)
             answer = await asyncio.to_thread(poster.recv, 4096)
             assert b'"cancelled"' in answer
+
+
+# Guards against refusals as overload: an entry that had been frozen served its first caller only.
+async def test_callers_who_still_wait_after_a_pause_are_served():
+    worker = StandInWorker(run_s=0.02)
+    async with run_front(worker) as (entry, address):
+        with connect(address, 60) as sockets:
+            await until(lambda: len(entry.hangup_watch.callers) == len(sockets))
+            for number, sock in enumerate(sockets):
+                step = {**STEP, "cpu": 5, "estimatedMs": 50}
+                sock.sendall(request_bytes("POST", number, step))
+            leave(sockets[1::2])
+            stand_still(0.5)
+            # The overdue tick comes before the requests that were sent meanwhile.
+            entry.tick(entry.clock.now())
+            await until(lambda: len(worker.started) == 30 and not entry.dispatcher.jobs)
+            assert started_jobs(worker) == set(range(0, 60, 2))
+            for sock in sockets[::2]:
+                assert b'"completed"' in await asyncio.to_thread(sock.recv, 4096)
