Soak: callers who time out while an entry and agents are paused

Change: a kind of fault, drawn from a sequence of its own: an entry and up to a third of the agents pause together, and six callers time out and send a long job to another entry .1 to .6 s before the end.

--- a/onyxfork/workload/soak/faults.py
+++ b/onyxfork/workload/soak/faults.py
@@ -37,6 +37,9 @@
 ODD_REPORTS = 20
 """Reports of another writer that an agent gets one after the other."""
 
+IMPATIENT = 6
+"""Callers that time out together."""
+
 MAX_IN_FLIGHT_S = 0.03
 """Longest time from the sending of changes to the kill of all processes: about two commits."""
 
@@ -343,6 +346,12 @@
         async with connect_crowd(crowd, address):
             await asyncio.sleep(fault.duration_s)
 
+    async def do_impatient(self, fault):
+        """Let callers send jobs to an entry, time out and send them to another one."""
+        await asyncio.gather(
+            *(self.callers.submit_impatiently(fault.target, fault.amount) for _ in range(IMPATIENT))
+        )
+
     async def do_give_up(self, fault):
         """Let a share of the callers disconnect before they are answered."""
         self.callers.abandoned_share = 0.4
--- a/onyxfork/workload/soak/load.py
+++ b/onyxfork/workload/soak/load.py
@@ -29,6 +29,9 @@
 """Delay after which a caller sends its job again if its connection failed or the outcome is
 unknown."""
 
+SENT_AGAIN = "timeout", "broken", "refused connection", "502", "504"
+"""Outcomes of an attempt after which a caller sends its job again."""
+
 ANSWER_GRACE_S = 1.0
 """Time after the timeout of the last callers in which their outcomes are recorded."""
 
@@ -220,6 +223,29 @@
         job.ended_at = self.clock.now()
         self.idle_callers.append(caller)
 
+    async def submit_impatiently(self, entry, timeout_s):
+        """Submit one job to an entry, and after a timeout to another one.
+
+        Parameters
+        ----------
+        entry : str
+        timeout_s : float
+            Timeout at that entry; the other one has the usual time.
+        """
+        kind = max(self.profile.kinds, key=lambda kind: kind.run_ms)
+        now = self.clock.now()
+        job = JobRecord(f"{next(self.job_numbers):016x}", kind.spec(), kind.tasks, now)
+        self.records.jobs[job.id] = job
+        caller = self.acquire_caller()
+        caller.entry = entry
+        await self.submit_once(caller, kind, job, now + timeout_s)
+        if job.attempts[-1] in SENT_AGAIN:
+            caller.entry = self.balancer.choose_entry(avoid=entry)
+            await asyncio.sleep(RESEND_DELAY_S)
+            await self.submit_once(caller, kind, job, self.clock.now() + kind.timeout_s)
+        job.ended_at = self.clock.now()
+        self.idle_callers.append(caller)
+
     def reset_connections(self, entry):
         """Reset the connections on which requests to an entry are in progress."""
         for request, name in list(self.requests.items()):
--- a/onyxfork/workload/soak/schedule.py
+++ b/onyxfork/workload/soak/schedule.py
@@ -74,6 +74,7 @@
     "reset_callers",
     "unanswered",
     "crowd",
+    "impatient",
 )
 """Kinds that are drawn from random sequences of their own, so that the other faults of a seed stay
 the same."""
@@ -126,6 +127,17 @@
 CROWD_KINDS = 5
 """Mean time between two crowds of clients at an entry, and the number of different crowds."""
 
+MEAN_IMPATIENCE_INTERVAL_S = 6.0
+MIN_IMPATIENCE_S = 2.0
+"""Mean time between two pauses of an entry and of agents whose callers time out meanwhile, and the
+shortest such pause: the callers have sent their jobs to other entries before it ends."""
+
+RETURN_MARGIN_S = 0.1, 0.6
+"""Bounds on the time from the start of the jobs elsewhere to the end of the pause."""
+
+WAKE_SPREAD_S = 0.05
+"""Upper bound on the time between the ends of the pauses of the entry and of an agent."""
+
 EVACUATION_SHARE = 0.5
 """Probability that a schedule has evacuations of zones."""
 
@@ -216,9 +228,9 @@
     amount : float
         Clock step in milliseconds (``step_clock``), delay in seconds (``delay``), or factor of run
         times (``slow``) or of the rate of jobs (``burst``), divisor of the capacity (``shrink``),
-        or share of jobs (``crashing``) or of orders (``unanswered``), number of the ``crowd``, or
-        seconds by which the instances with lost disks return later than all others
-        (``lose_power``); other kinds do not use it.
+        or share of jobs (``crashing``) or of orders (``unanswered``), number of the ``crowd``,
+        timeout of callers in seconds (``impatient``), or seconds by which the instances with lost
+        disks return later than all others (``lose_power``); other kinds do not use it.
     """
 
     at_s: float
@@ -332,6 +344,7 @@
     faults += draw_silences(Random(f"{seed} silences"), seconds, size)
     faults += draw_unanswered(Random(f"{seed} unanswered"), seconds, size)
     faults += draw_crowds(Random(f"{seed} crowds"), seconds, size)
+    faults += draw_impatience(Random(f"{seed} impatience"), seconds, size)
     if kill_all not in faults:
         faults += draw_power_loss(Random(f"{seed} power"), seconds, size, draw.faults)
     return sorted(faults, key=lambda fault: fault.at_s)
@@ -482,6 +495,31 @@
     return faults
 
 
+def draw_impatience(rng, seconds, size):
+    """Draw pauses of entries and agents, and callers who time out and send again before the end.
+
+    The agents that are paused keep their connections to the entry, so it can send them orders as
+    soon as it wakes.
+    """
+    faults, at_s = [], WARM_UP_S
+    while (at_s := at_s + rng.expovariate(1 / MEAN_IMPATIENCE_INTERVAL_S)) < seconds:
+        entry = rng.choice(size.names("entry"))
+        agents = rng.sample(size.names("agent"), rng.randint(1, max(1, size.agents // 3)))
+        faults += make_impatience(rng, at_s, entry, agents)
+    return faults
+
+
+def make_impatience(rng, at_s, entry, agents):
+    """Return the faults of one pause of an entry and agents, see `draw_impatience`."""
+    duration_s = rng.uniform(MIN_IMPATIENCE_S, MAX_FAULT_S)
+    pauses = [Fault(at_s, "pause", entry, duration_s=duration_s)]
+    for agent in agents:
+        agent_s = duration_s + rng.uniform(-WAKE_SPREAD_S, WAKE_SPREAD_S)
+        pauses.append(Fault(at_s, "pause", agent, duration_s=agent_s))
+    timeout_s = duration_s - RESENT_AFTER_S - rng.uniform(*RETURN_MARGIN_S)
+    return [*pauses, Fault(at_s, "impatient", entry, duration_s=duration_s, amount=timeout_s)]
+
+
 def draw_evacuations(rng, seconds, size):
     """Draw evacuations of zones, which may overlap; each zone is evacuated at most once."""
     if rng.random() >= EVACUATION_SHARE:
