--- a/tests/direct/test_hangups.py
+++ b/tests/direct/test_hangups.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import struct
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 import pytest
 
@@ -66,6 +66,19 @@
             pair.__exit__(None, None, None)
 
 
+async def test_reset_is_noticed_behind_more_bytes_than_the_buffers_take():
+    loop = asyncio.get_running_loop()
+    with open_hangup_watch(loop, lambda: None) as watch, connected_pair() as (client, server):
+        caller = watch.add(server)
+        client.setblocking(False)
+        with suppress(BlockingIOError):
+            while True:
+                client.send(b"x" * 65536)
+        leave(client, "reset")
+        watch.look()
+        assert caller.has_left
+
+
 async def test_event_loop_is_told_of_an_end_that_nobody_reads():
     loop, told = asyncio.get_running_loop(), asyncio.Event()
     with open_hangup_watch(loop, told.set) as watch, connected_pair() as (client, server):
