--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -198,8 +198,8 @@
         ----------
         request : JobRequest
         caller : Caller, optional
-            Who waits for the outcome. If the caller has left nothing is started, and the job is
-            stopped once it leaves.
+            Who waits for the outcome. Nothing is started if the caller has left, and the job is
+            stopped when it leaves.
 
         Returns
         -------
