An entry that always gets too little processor time is overloaded

Cause: since every late interval with little processor time was left out, so an entry on a machine that gives it less than a tenth of a core for long accepted all jobs and stayed ready. Change: of late intervals in a row only the first is left out. Evidence: test_process_that_always_gets_too_little_time_is_overloaded fails without the change. The tests of single pauses, however often they come, pass as before.

--- a/onyxfork/direct/entry_load.py
+++ b/onyxfork/direct/entry_load.py
@@ -39,7 +39,8 @@
 
 MIN_USED_SHARE = 0.1
 """An interval between ticks in which the process used less of a core than this was a pause: it was
-frozen, or the machine ran something else. Load uses processor time."""
+frozen, or the machine ran something else. Load uses processor time. Of pauses in a row only the
+first is left out: a process that gets so little time is as late as one that is overloaded."""
 
 RECENT_TICKS = 5
 """The delay counts as at most that of the latest of this many ticks, so that a single pause of the
@@ -66,6 +67,8 @@
 
     Attributes
     ----------
+    has_paused : bool
+        Whether the process paused before the latest tick.
     average_ms : float
         Exponential moving average of the delays.
     recent_ms : deque of float
@@ -76,11 +79,12 @@
         self.tick_s = tick_s
         self.ticked_at = now
         self.used_s = used_s
+        self.has_paused = False
         self.average_ms = 0.0
         self.recent_ms = deque([0.0], RECENT_TICKS)
 
     def record_tick(self, now, used_s):
-        """Record that a tick runs now, unless the process has paused since the latest one.
+        """Record that a tick runs now, unless the process has paused once since the latest one.
 
         Parameters
         ----------
@@ -92,7 +96,9 @@
         elapsed_s, self.ticked_at = now - self.ticked_at, now
         used_share, self.used_s = (used_s - self.used_s) / max(elapsed_s, self.tick_s), used_s
         late_ms = max(0.0, elapsed_s - self.tick_s) * 1000
-        if late_ms > GOOD_DELAY_MS and used_share < MIN_USED_SHARE:
+        had_paused = self.has_paused
+        self.has_paused = late_ms > GOOD_DELAY_MS and used_share < MIN_USED_SHARE
+        if self.has_paused and not had_paused:
             return
         self.average_ms += (1 - math.exp(-elapsed_s / AVERAGE_S)) * (late_ms - self.average_ms)
         self.recent_ms.append(late_ms)
--- a/tests/direct/test_entry_load.py
+++ b/tests/direct/test_entry_load.py
@@ -47,6 +47,12 @@
             assert all(is_ready for _, is_ready in changes)
 
 
+def test_process_that_always_gets_too_little_time_is_overloaded():
+    load, _, changes = play([300.0] * 12, share=0.05)
+    assert load.exceeds_share(1000.0)
+    assert [ready for _, ready in changes] == [True, False]
+
+
 def test_pause_does_not_hide_the_load_before_and_after_it():
     load, _, _ = play([40.0] * 60)
     play([500.0], load, now=load.ticked_at, share=0.01)
