DirectEntry.run_job: the refusals for the state of the process in a method of their own

`find_refusal` holds the two checks, and `stop_departed_jobs` is what run_job and the event loop call when connections may have ended. No change of behaviour; 53 tests of path, departed callers, hangups and entry stop pass.

--- a/onyxfork/direct/entry.py
+++ b/onyxfork/direct/entry.py
@@ -180,7 +180,7 @@
         if self.hangup_watch is not None:
             self.hangup_watch.look()
 
-    def on_hangup(self):
+    def stop_departed_jobs(self):
         """Stop the jobs whose callers have left."""
         self.cancel_departed()
         self.flush()
@@ -206,18 +206,15 @@
         JobOutcome
         """
         caller = caller or Caller()
-        self.on_hangup()
+        self.stop_departed_jobs()
         if caller.has_left:
             log.info("job not started", extra={"job": request.job, "reason": CALLER_LEFT})
             self.telemetry.count("jobs", queue=request.queue.name, state=UNKNOWN)
             return JobOutcome(UNKNOWN, CALLER_LEFT)
         now = self.clock.now()
-        if self.stop_started_at is not None and not self.ends_before_stop(request, now):
-            return self.refused_outcome(request, Refusal("this entry is about to stop"))
-        slack_ms = job_slack_ms(request, longest_chain_ms(request.steps))
-        if self.answer_futures and self.load.exceeds_share(slack_ms):
-            reason = f"this entry is overloaded: it runs {self.load.delay_ms:.0f} ms late"
-            return self.refused_outcome(request, Refusal(reason))
+        refusal = self.find_refusal(request, now)
+        if refusal is not None:
+            return self.refused_outcome(request, refusal)
         # Before tasks are placed, which looks at the connections again.
         caller.on_left = partial(self.cancel_request, request)
         result = self.dispatcher.submit(request, now)
@@ -240,6 +237,15 @@
             caller.on_left = None
             self.answer_futures.pop(result, None)
 
+    def find_refusal(self, request, now):
+        """Return the `Refusal` of a job for the state of this process, or None."""
+        if self.stop_started_at is not None and not self.ends_before_stop(request, now):
+            return Refusal("this entry is about to stop")
+        slack_ms = job_slack_ms(request, longest_chain_ms(request.steps))
+        if self.answer_futures and self.load.exceeds_share(slack_ms):
+            return Refusal(f"this entry is overloaded: it runs {self.load.delay_ms:.0f} ms late")
+        return None
+
     def cancel_job(self, queue, job_id):
         """Stop a job at the request of a caller.
 
@@ -580,7 +586,7 @@
     listen = settings.listen
     server = serve(listen.host, listen.port, entry.hello, settings.timing, entry.accept)
     loop = asyncio.get_running_loop()
-    with open_hangup_watch(loop, entry.on_hangup) as hangup_watch:
+    with open_hangup_watch(loop, entry.stop_departed_jobs) as hangup_watch:
         async with owned_tasks() as spawn:
             entry.spawn, entry.hangup_watch = spawn, hangup_watch
             entry.control.set_own_address(str(settings.address))
